--- /dev/null
+++ b/crates/eelgrassramp/src/lib.rs
@@ -0,0 +1,62 @@
+//! A request scheduler for unlike engines, driven by a table of routes and a table of pools.
+//!
+//! Entries accept callers' requests, sidecars stand beside endpoints, and what must last lives
+//! in the platform's object API. The slices of this crate decide; each is a state machine
+//! without I/O that takes the time and the events as arguments, inside a thin shell that does
+//! the I/O. Start with `docs/DESIGN.md`.
+//!
+//! # Examples
+//!
+//! ```
+//! use eelgrassramp::{Kind, Ran};
+//!
+//! // What a caller may conclude from an error follows from its kind alone.
+//! assert_eq!(Kind::Displaced.answer().ran, Ran::No);
+//! assert_eq!(Kind::OutcomeUnknown.answer().ran, Ran::Maybe);
+//! ```
+
+pub mod engine;
+mod error;
+mod id;
+pub mod jsonc;
+pub mod link;
+pub mod log;
+pub mod metrics;
+mod name;
+pub mod num;
+mod process;
+pub mod store;
+pub mod tables;
+mod tier;
+mod time;
+pub mod wire;
+
+pub use self::error::Answer;
+pub use self::error::Category;
+pub use self::error::Error;
+pub use self::error::Kind;
+pub use self::error::Ran;
+pub use self::error::Result;
+pub use self::error::to_markdown as errors_to_markdown;
+pub use self::id::Attempt;
+pub use self::id::ClockMark;
+pub use self::id::FencingToken;
+pub use self::id::Incarnation;
+pub use self::id::ObjectVersion;
+pub use self::id::RequestId;
+pub use self::id::TableVersion;
+pub use self::name::AccountName;
+pub use self::name::DomainName;
+pub use self::name::EndpointName;
+pub use self::name::EntryName;
+pub use self::name::HardwareName;
+pub use self::name::MAX_NAME_BYTES;
+pub use self::name::PoolName;
+pub use self::name::RouteName;
+pub use self::name::VersionName;
+pub use self::name::is_valid_name;
+pub use self::process::Context;
+pub use self::tier::Tier;
+pub use self::time::Monotonic;
+pub use self::time::Ticks;
+pub use self::time::Timers;
--- /dev/null
+++ b/crates/eelgrassramp/src/process.rs
@@ -0,0 +1,60 @@
+//! What every process of this system is started with.
+
+use std::fmt;
+use std::sync::Arc;
+
+use cadence::StatsdClient;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use slog::Logger;
+use tokio_util::sync::CancellationToken;
+
+use crate::time::Timers;
+
+/// The services that a process's parts share.
+#[derive(Clone)]
+pub struct Context {
+    /// Where the process logs to.
+    pub log: Logger,
+    /// Where the process counts and measures.
+    pub metrics: Arc<StatsdClient>,
+    /// The process's timer service.
+    pub timers: Timers,
+    /// Cancelled when the process is asked to stop; parts then finish what is in progress.
+    pub stop: CancellationToken,
+    /// Seed of all random choices, for repeatable runs; `None` seeds from the system.
+    pub seed: Option<u64>,
+}
+
+impl Context {
+    /// Creates a context that logs and counts nothing, for tests.
+    #[must_use]
+    pub fn quiet(seed: u64) -> Self {
+        Self {
+            log: crate::log::discard(),
+            metrics: crate::metrics::discard(),
+            timers: Timers::start(),
+            stop: CancellationToken::new(),
+            seed: Some(seed),
+        }
+    }
+
+    /// Creates a random number generator of its own for the part named `part`.
+    #[must_use]
+    pub fn rng(&self, part: &str) -> StdRng {
+        match self.seed {
+            Some(seed) => {
+                StdRng::seed_from_u64(xxhash_rust::xxh3::xxh3_64_with_seed(part.as_bytes(), seed))
+            }
+            None => rand::make_rng(),
+        }
+    }
+}
+
+impl fmt::Debug for Context {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Context")
+            .field("seed", &self.seed)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/eelgrassramp/src/store.rs
@@ -0,0 +1,9 @@
+//! The platform's object API: the only place where anything lasts.
+
+mod api;
+
+pub use self::api::MAX_VALUE_BYTES;
+pub use self::api::Object;
+pub use self::api::ObjectApi;
+pub use self::api::Vm;
+pub use self::api::VmState;
--- /dev/null
+++ b/crates/eelgrassramp/src/tables/current.rs
@@ -0,0 +1,59 @@
+//! The tables that are in force in this process.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use tokio::sync::watch;
+
+use super::model::Tables;
+use crate::id::TableVersion;
+
+/// Holds the newest tables that this process has seen; it never goes back.
+#[derive(Debug)]
+pub struct Current {
+    tables: ArcSwap<Tables>,
+    version: watch::Sender<TableVersion>,
+}
+
+impl Current {
+    /// Starts with `tables`, which may be the empty default.
+    #[must_use]
+    pub fn new(tables: Tables) -> Self {
+        let (version, _) = watch::channel(tables.version);
+        Self {
+            tables: ArcSwap::from_pointee(tables),
+            version,
+        }
+    }
+
+    /// Returns the tables in force.
+    #[must_use]
+    pub fn get(&self) -> Arc<Tables> {
+        self.tables.load_full()
+    }
+
+    /// Puts `tables` in force if they are newer; tells whether they were.
+    pub fn offer(&self, tables: Tables) -> bool {
+        let tables = Arc::new(tables);
+        self.version.send_if_modified(|version| {
+            if tables.version <= *version {
+                return false;
+            }
+            *version = tables.version;
+            self.tables.store(Arc::clone(&tables));
+            true
+        })
+    }
+
+    /// Subscribes to the version in force.
+    #[must_use]
+    pub fn subscribe(&self) -> watch::Receiver<TableVersion> {
+        self.version.subscribe()
+    }
+}
+
+impl Default for Current {
+    fn default() -> Self {
+        Self::new(Tables::default())
+    }
+}
--- /dev/null
+++ b/crates/programs/src/bin/eelgrassramp-ctl.rs
@@ -0,0 +1,3 @@
+//! Checks and edits the tables and shows moves.
+
+fn main() {}
--- /dev/null
+++ b/crates/programs/src/bin/eelgrassramp-entry.rs
@@ -0,0 +1,3 @@
+//! Accepts requests from callers and sends them to endpoints.
+
+fn main() {}
--- /dev/null
+++ b/crates/programs/src/bin/eelgrassramp-sidecar.rs
@@ -0,0 +1,3 @@
+//! Stands beside one endpoint and admits its requests.
+
+fn main() {}
--- /dev/null
+++ b/crates/programs/src/lib.rs
@@ -0,0 +1,1 @@
+//! Parts that the programs share: command line, settings file, logs, signals.
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and the endpoints, and the load and experiment tool.
