--- /dev/null
+++ b/crates/eelgrassramp/src/entry/flight.rs
@@ -0,0 +1,310 @@
+//! The life of one dispatch, decided without I/O.
+//!
+//! [`Flight`] turns what an entry sees of a dispatch (frames, broken connections, silence,
+//! replies to a revocation) into the next step. It alone decides when an outcome is ambiguous
+//! and how it is settled: see `docs/design/retry.md`, "Ambiguous outcomes".
+
+use bytes::Bytes;
+
+use crate::error::Error;
+use crate::error::Kind;
+use crate::error::Ran;
+use crate::link::LinkError;
+use crate::num;
+use crate::proof::NotRun;
+use crate::wire::Failure;
+use crate::wire::Frame;
+use crate::wire::Header;
+use crate::wire::RevokeReply;
+use crate::wire::Usage;
+
+/// Calls to a sidecar that may fail in a row before an outcome counts as unknown.
+pub const MAX_FAILED_RESUMES: u32 = 4;
+
+/// What the entry saw.
+#[derive(Debug)]
+pub enum Event {
+    /// The dispatch or an attach gave no stream.
+    CallFailed(LinkError),
+    /// The stream gave a frame.
+    Frame(Frame),
+    /// The stream broke or ended without a last frame.
+    Broken(Error),
+    /// Nothing came for the silence limit, not even a heartbeat.
+    Silent,
+    /// The sidecar answered the revocation.
+    Revoked(RevokeReply),
+    /// The revocation gave no reply.
+    RevokeFailed(LinkError),
+}
+
+/// What the entry does next.
+#[derive(Debug)]
+pub enum Step {
+    /// Reads the next frame of the open stream.
+    Read,
+    /// Passes a part of the answer to the caller, then reads on.
+    Emit(Piece),
+    /// Drops the stream and attaches on a new connection from this body offset on.
+    Attach(u64),
+    /// Drops the stream and asks on a new connection that the request never start.
+    Revoke,
+    /// The dispatch had no effect; the request may be dispatched again.
+    NotRun(NotRun),
+    /// The answer is whole.
+    Done(Usage),
+    /// The request ends without a whole answer.
+    Failed(Error, Ran),
+}
+
+/// A part of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Piece {
+    /// Status and headers.
+    Head {
+        /// HTTP status of the endpoint's answer.
+        status: u16,
+        /// Headers that are passed on.
+        headers: Vec<Header>,
+    },
+    /// Body bytes that follow those passed before.
+    Data(Bytes),
+}
+
+/// How much is known of the request at the sidecar.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Seen {
+    /// The dispatch may have arrived or not.
+    Nothing,
+    /// The sidecar holds the request in its ledger.
+    Confirmed,
+    /// The engine was given the request.
+    Started,
+}
+
+/// What the flight waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Waiting {
+    Dispatch,
+    Attach,
+    Revoke,
+    Over,
+}
+
+/// The state of one dispatch as the entry sees it.
+#[derive(Debug)]
+pub struct Flight {
+    seen: Seen,
+    waiting: Waiting,
+    head_passed: bool,
+    passed: u64,
+    failed_resumes: u32,
+}
+
+impl Default for Flight {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Flight {
+    /// Starts with a dispatch that was just handed to the link.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            seen: Seen::Nothing,
+            waiting: Waiting::Dispatch,
+            head_passed: false,
+            passed: 0,
+            failed_resumes: 0,
+        }
+    }
+
+    /// Tells whether the engine is known to have been given the request.
+    #[must_use]
+    pub fn has_started(&self) -> bool {
+        self.seen == Seen::Started
+    }
+
+    /// Returns the number of body bytes passed to the caller.
+    #[must_use]
+    pub const fn passed(&self) -> u64 {
+        self.passed
+    }
+
+    /// Takes one event and returns the next step.
+    ///
+    /// # Panics
+    ///
+    /// Panics when called after the flight has ended, which is a bug of the caller.
+    pub fn handle(&mut self, event: Event) -> Step {
+        assert!(self.waiting != Waiting::Over, "the flight has ended");
+        let step = match event {
+            Event::CallFailed(e) => self.on_call_failed(e),
+            Event::Frame(frame) => self.on_frame(frame),
+            Event::Broken(e) => self.on_lost(e),
+            Event::Silent => {
+                self.on_lost(Error::new(Kind::StreamBroken, "the connection went silent"))
+            }
+            Event::Revoked(reply) => self.on_revoked(reply),
+            Event::RevokeFailed(e) => self.on_revoke_failed(e),
+        };
+        self.follow(&step);
+        step
+    }
+
+    fn follow(&mut self, step: &Step) {
+        match step {
+            Step::Attach(offset) => {
+                assert_eq!(*offset, self.passed, "an attach resumes where the caller stands");
+                self.waiting = Waiting::Attach;
+            }
+            Step::Revoke => self.waiting = Waiting::Revoke,
+            Step::NotRun(_) => {
+                assert!(!self.head_passed, "an answer was passed on for a request that did not run");
+                self.waiting = Waiting::Over;
+            }
+            Step::Done(_) | Step::Failed(..) => self.waiting = Waiting::Over,
+            Step::Read | Step::Emit(_) => {}
+        }
+    }
+
+    fn on_call_failed(&mut self, err: LinkError) -> Step {
+        if self.waiting != Waiting::Dispatch {
+            // An attach proves nothing about the dispatch before it, sent or not.
+            return self.on_lost(into_error(err));
+        }
+        match NotRun::from_link(err) {
+            Ok(proof) => Step::NotRun(proof),
+            Err(e) => self.on_lost(e),
+        }
+    }
+
+    /// Finds out how far the request got, on a new connection.
+    fn on_lost(&mut self, cause: Error) -> Step {
+        if self.waiting != Waiting::Dispatch {
+            self.failed_resumes += 1;
+        }
+        if self.failed_resumes >= MAX_FAILED_RESUMES {
+            return self.unknown(&cause);
+        }
+        if self.seen == Seen::Nothing {
+            Step::Revoke
+        } else {
+            Step::Attach(self.passed)
+        }
+    }
+
+    fn on_revoked(&mut self, reply: RevokeReply) -> Step {
+        match reply {
+            RevokeReply::NeverStarted => match NotRun::from_revoke(reply) {
+                Some(proof) => Step::NotRun(proof),
+                None => self.unknown(&Error::new(Kind::Internal, "revocation without proof")),
+            },
+            RevokeReply::Running | RevokeReply::Finished => {
+                self.seen = Seen::Started;
+                Step::Attach(self.passed)
+            }
+            RevokeReply::OtherIncarnation(_) => self.unknown(&Error::new(
+                Kind::WrongIncarnation,
+                "the sidecar that was given the request has restarted",
+            )),
+        }
+    }
+
+    fn on_revoke_failed(&mut self, err: LinkError) -> Step {
+        self.failed_resumes += 1;
+        if self.failed_resumes >= MAX_FAILED_RESUMES {
+            return self.unknown(&into_error(err));
+        }
+        Step::Revoke
+    }
+
+    fn on_frame(&mut self, frame: Frame) -> Step {
+        match frame {
+            Frame::Heartbeat => Step::Read,
+            Frame::Queued(_) => self.advance(Seen::Confirmed),
+            Frame::Started => self.advance(Seen::Started),
+            Frame::Head { status, headers } => self.on_head(status, headers),
+            Frame::Data { offset, bytes } => self.on_data(offset, &bytes),
+            Frame::Final { length, usage, .. } => self.on_final(length, usage),
+            Frame::Failed(failure) => self.on_failure(failure),
+        }
+    }
+
+    fn advance(&mut self, seen: Seen) -> Step {
+        self.seen = self.seen.max(seen);
+        Step::Read
+    }
+
+    fn on_head(&mut self, status: u16, headers: Vec<Header>) -> Step {
+        self.seen = Seen::Started;
+        if self.head_passed {
+            return Step::Read;
+        }
+        self.head_passed = true;
+        self.failed_resumes = 0;
+        Step::Emit(Piece::Head { status, headers })
+    }
+
+    fn on_data(&mut self, offset: u64, bytes: &Bytes) -> Step {
+        self.seen = Seen::Started;
+        if !self.head_passed || offset > self.passed {
+            return self.on_lost(Error::new(Kind::StreamBroken, "a frame is missing"));
+        }
+        let known = num::length(self.passed - offset);
+        if known >= bytes.len() {
+            return Step::Read;
+        }
+        let fresh = bytes.slice(known..);
+        self.passed += num::count(fresh.len());
+        self.failed_resumes = 0;
+        Step::Emit(Piece::Data(fresh))
+    }
+
+    fn on_final(&mut self, length: u64, usage: Usage) -> Step {
+        if !self.head_passed || length > self.passed {
+            return self.on_lost(Error::new(Kind::StreamBroken, "a frame is missing"));
+        }
+        if length < self.passed {
+            let detail = format!(
+                "the answer's length is {length} but {} bytes came",
+                self.passed
+            );
+            return Step::Failed(Error::new(Kind::StreamBroken, detail), Ran::Maybe);
+        }
+        Step::Done(usage)
+    }
+
+    fn on_failure(&mut self, failure: Failure) -> Step {
+        let is_other_life = failure.kind == Kind::WrongIncarnation;
+        if self.waiting == Waiting::Attach && is_other_life {
+            // Another life refuses the attach; of the dispatch before it, it knows nothing.
+            return self.unknown(&failure.into());
+        }
+        if self.head_passed {
+            let err = Error::from(failure);
+            return Step::Failed(err, Ran::Maybe);
+        }
+        let ran = failure.ran;
+        match NotRun::from_refusal(failure) {
+            Ok(proof) => Step::NotRun(proof),
+            Err(e) => Step::Failed(e, ran),
+        }
+    }
+
+    fn unknown(&self, cause: &Error) -> Step {
+        let kind = if self.head_passed {
+            Kind::StreamBroken
+        } else {
+            Kind::OutcomeUnknown
+        };
+        Step::Failed(Error::new(kind, cause.to_string()), Ran::Maybe)
+    }
+}
+
+fn into_error(err: LinkError) -> Error {
+    match err {
+        LinkError::NotSent(e) | LinkError::Broken(e) => e,
+    }
+}
--- a/crates/eelgrassramp/src/lib.rs
+++ b/crates/eelgrassramp/src/lib.rs
@@ -16,15 +16,20 @@
 //! ```
 
 pub mod engine;
+pub mod entry;
 mod error;
 mod id;
 pub mod jsonc;
+pub mod key;
 pub mod link;
 pub mod log;
 pub mod metrics;
 mod name;
 pub mod num;
 mod process;
+pub mod proof;
+pub mod retry;
+pub mod routing;
 pub mod store;
 pub mod tables;
 mod tier;
--- a/crates/eelgrassramp/src/link.rs
+++ b/crates/eelgrassramp/src/link.rs
@@ -3,6 +3,8 @@
 //! An entry knows sidecars only through [`SidecarLink`], so the same entry runs over HTTP in
 //! production and over in-process links with injected faults in tests.
 
+mod http;
+
 use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -26,6 +28,8 @@
 use crate::wire::RevokeReply;
 use crate::wire::TablesSnapshot;
 
+pub use self::http::HttpLink;
+
 /// The frames of one answer; it ends early when the connection breaks.
 pub type FrameStream = Pin<Box<dyn Stream<Item = Result<Frame>> + Send>>;
 
--- /dev/null
+++ b/crates/eelgrassramp/src/routing/knowledge.rs
@@ -0,0 +1,135 @@
+//! What spreads among processes besides the tables: brakes, splits, leaving endpoints.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::id::RequestId;
+use crate::name::EndpointName;
+use crate::name::PoolName;
+use crate::name::RouteName;
+use crate::name::VersionName;
+use crate::tables::Pool;
+use crate::wire::Brake;
+use crate::wire::PoolSplit;
+
+const PERMILLE: u64 = 1_000;
+
+/// Brakes, splits and leaving endpoints that this process knows; each only ever grows.
+#[derive(Debug, Clone, Default)]
+pub struct Knowledge {
+    brakes: BTreeSet<Brake>,
+    splits: BTreeMap<PoolName, PoolSplit>,
+    leaving: BTreeSet<EndpointName>,
+}
+
+impl Knowledge {
+    /// Takes a brake; tells whether it is new.
+    pub fn add_brake(&mut self, brake: Brake) -> bool {
+        self.brakes.insert(brake)
+    }
+
+    /// Takes a split unless a higher one of its pool is known; tells whether it was taken.
+    pub fn add_split(&mut self, split: PoolSplit) -> bool {
+        let is_old = self
+            .splits
+            .get(&split.pool)
+            .is_some_and(|known| known.seq >= split.seq);
+        if !is_old {
+            self.splits.insert(split.pool.clone(), split);
+        }
+        !is_old
+    }
+
+    /// Takes the name of a leaving endpoint; tells whether it is new.
+    pub fn add_leaving(&mut self, endpoint: EndpointName) -> bool {
+        self.leaving.insert(endpoint)
+    }
+
+    /// Forgets that an endpoint was leaving, once its VM has been replaced.
+    pub fn remove_leaving(&mut self, endpoint: &EndpointName) {
+        self.leaving.remove(endpoint);
+    }
+
+    /// Returns all brakes.
+    pub fn brakes(&self) -> impl Iterator<Item = &Brake> {
+        self.brakes.iter()
+    }
+
+    /// Returns the brakes of one pool.
+    pub fn brakes_of<'a>(&'a self, pool: &'a PoolName) -> impl Iterator<Item = &'a Brake> {
+        self.brakes.iter().filter(move |b| b.pool == *pool)
+    }
+
+    /// Returns the newest split of a pool.
+    #[must_use]
+    pub fn split(&self, pool: &PoolName) -> Option<&PoolSplit> {
+        self.splits.get(pool)
+    }
+
+    /// Returns the names of leaving endpoints.
+    pub fn leaving(&self) -> impl Iterator<Item = &EndpointName> {
+        self.leaving.iter()
+    }
+
+    /// Tells whether an endpoint is leaving.
+    #[must_use]
+    pub fn is_leaving(&self, endpoint: &EndpointName) -> bool {
+        self.leaving.contains(endpoint)
+    }
+
+    /// Tells whether new work to a version is stopped.
+    ///
+    /// A brake belongs to the move during which it was seen; a later move to the same version
+    /// starts afresh.
+    #[must_use]
+    pub fn is_braked(&self, pool: &PoolName, version: &VersionName) -> bool {
+        let move_began = self
+            .splits
+            .get(pool)
+            .filter(|s| s.new == *version)
+            .map(|s| s.seq.tables);
+        self.brakes_of(pool)
+            .filter(|b| b.version == *version)
+            .any(|b| move_began.is_none_or(|began| b.tables >= began))
+    }
+
+    /// Draws the version for a request; the same request always draws the same side of a split.
+    ///
+    /// Returns `None` when every version that it could go to is braked.
+    #[must_use]
+    pub fn version_for(
+        &self,
+        pool: &Pool,
+        route: &RouteName,
+        draw: RequestId,
+    ) -> Option<VersionName> {
+        let split = self.splits.get(&pool.name);
+        let (first, second) = match split {
+            Some(split) if draws_new(split, route, draw) => (&split.new, Some(&split.old)),
+            Some(split) => (&split.old, Some(&split.new).filter(|_| has_share(split, route))),
+            None => (&pool.version, None),
+        };
+        std::iter::once(first)
+            .chain(second)
+            .find(|v| !self.is_braked(&pool.name, v))
+            .cloned()
+    }
+}
+
+fn share(split: &PoolSplit, route: &RouteName) -> u64 {
+    split
+        .shares
+        .iter()
+        .find(|s| s.route == *route)
+        .map_or(0, |s| u64::from(s.to_new_permille))
+}
+
+fn has_share(split: &PoolSplit, route: &RouteName) -> bool {
+    share(split, route) > 0
+}
+
+fn draws_new(split: &PoolSplit, route: &RouteName, draw: RequestId) -> bool {
+    xxh3_64(&draw.to_bits().to_le_bytes()) % PERMILLE < share(split, route)
+}
