--- /dev/null
+++ b/crates/eelgrassramp/tests/codec.rs
@@ -0,0 +1,74 @@
+//! Decoders of messages and frames against arbitrary bytes.
+
+use bytes::Bytes;
+use eelgrassramp::Kind;
+use eelgrassramp::wire::Dispatch;
+use eelgrassramp::wire::Frame;
+use eelgrassramp::wire::FrameDecoder;
+use eelgrassramp::wire::MAX_MESSAGE_BYTES;
+use eelgrassramp::wire::Report;
+use eelgrassramp::wire::ReportRequest;
+use eelgrassramp::wire::from_bytes;
+use eelgrassramp::wire::to_frame;
+use googletest::prelude::*;
+use proptest::prelude::any;
+use proptest::prelude::prop;
+use proptest::proptest;
+
+fn data(offset: u64) -> Frame {
+    Frame::Data {
+        offset,
+        bytes: Bytes::from_static(b"a board for soft dunes"),
+    }
+}
+
+fn decode_in_pieces(stream: &[u8], piece: usize) -> Vec<Frame> {
+    let mut decoder = FrameDecoder::new();
+    let mut frames = Vec::new();
+    for bytes in stream.chunks(piece) {
+        decoder.extend(bytes);
+        while let Some(frame) = decoder.next_frame().expect("the stream is well formed") {
+            frames.push(frame);
+        }
+    }
+    frames
+}
+
+proptest! {
+    #[test]
+    fn frames_come_back_whole_however_the_stream_is_cut(piece in 1_usize..80, count in 1_u64..20) {
+        let sent: Vec<Frame> = (0..count).map(data).collect();
+        let stream: Vec<u8> = sent.iter().flat_map(|f| to_frame(f).expect("encodes")).collect();
+
+        let received = decode_in_pieces(&stream, piece);
+
+        proptest::prop_assert_eq!(received, sent);
+    }
+
+    #[test]
+    fn arbitrary_bytes_never_panic_and_fail_as_malformed(body in prop::collection::vec(any::<u8>(), 0..512)) {
+        let errors = [
+            from_bytes::<Dispatch>(&body).err(),
+            from_bytes::<Report>(&body).err(),
+            from_bytes::<ReportRequest>(&body).err(),
+            from_bytes::<Frame>(&body).err(),
+        ];
+
+        for err in errors.into_iter().flatten() {
+            proptest::prop_assert_eq!(err.kind(), Kind::Malformed);
+        }
+    }
+}
+
+#[gtest]
+fn a_frame_that_claims_to_be_too_large_is_refused_before_it_is_buffered() {
+    let mut decoder = FrameDecoder::new();
+    let length = u32::try_from(MAX_MESSAGE_BYTES + 1).expect("fits");
+    decoder.extend(&length.to_be_bytes());
+
+    let err = decoder
+        .next_frame::<Frame>()
+        .expect_err("the length is over the limit");
+
+    expect_that!(err.kind(), eq(Kind::Malformed));
+}
--- a/crates/programs/src/lib.rs
+++ b/crates/programs/src/lib.rs
@@ -1,1 +1,9 @@
 //! Parts that the programs share: command line, settings file, logs, signals.
+
+mod command;
+mod run;
+
+pub use self::command::command;
+pub use self::run::Exit;
+pub use self::run::Program;
+pub use self::run::main;
--- /dev/null
+++ b/crates/programs/src/run.rs
@@ -0,0 +1,150 @@
+//! The life of a serving process, from its command line to its exit code.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use eelgrassramp::Context;
+use eelgrassramp::Kind;
+use eelgrassramp::Result;
+use eelgrassramp::Timers;
+use eelgrassramp::log;
+use eelgrassramp::log::Verbosity;
+use eelgrassramp::metrics;
+use slog::Logger;
+use slog::error;
+use slog::info;
+use slog::o;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio_util::sync::CancellationToken;
+
+/// Exit codes of all programs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Exit {
+    /// All went well.
+    Success = 0,
+    /// The process failed while it ran.
+    Failed = 1,
+    /// The command line, a settings file or a tables file is invalid.
+    Usage = 2,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit as u8)
+    }
+}
+
+/// What sets one serving process apart from another.
+pub trait Program {
+    /// The checked settings.
+    type Settings;
+
+    /// Name of the process on the command line and in logs.
+    const NAME: &'static str;
+
+    /// What the process does, in one sentence.
+    const ABOUT: &'static str;
+
+    /// Reads and checks the settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the file, the place and the cause.
+    fn read(path: &Path) -> Result<Self::Settings>;
+
+    /// Returns how much is logged.
+    fn verbosity(settings: &Self::Settings) -> Verbosity;
+
+    /// Returns where metrics go; `None` sends none.
+    fn statsd(settings: &Self::Settings) -> Option<SocketAddr>;
+
+    /// Serves until `cx.stop` is cancelled and all work in progress has ended.
+    fn serve(settings: Self::Settings, cx: Context) -> impl Future<Output = Result<()>> + Send;
+}
+
+/// Runs the process `P` and returns its exit code.
+#[must_use]
+pub fn main<P: Program>() -> ExitCode {
+    let matches = crate::command(P::NAME, P::ABOUT).get_matches();
+    let Some(path) = matches.get_one::<PathBuf>("settings") else {
+        return Exit::Usage.into();
+    };
+    let settings = match P::read(path) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("{}: {}", P::NAME, e.detail());
+            return Exit::Usage.into();
+        }
+    };
+    if matches.get_flag("check") {
+        return Exit::Success.into();
+    }
+    run::<P>(settings).into()
+}
+
+fn run<P: Program>(settings: P::Settings) -> Exit {
+    let log = log::to_stderr(P::verbosity(&settings), P::NAME);
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            error!(log, "runtime failed to start"; "error" => %e);
+            return Exit::Failed;
+        }
+    };
+    let outcome = runtime.block_on(async {
+        let cx = context(&log, P::statsd(&settings))?;
+        tokio::spawn(stop_on_signal(log.clone(), cx.stop.clone()));
+        info!(log, "process started"; "pid" => std::process::id());
+        P::serve(settings, cx).await
+    });
+    match outcome {
+        Ok(()) => {
+            info!(log, "process stopped");
+            Exit::Success
+        }
+        Err(e) => {
+            error!(log, "process failed"; "kind" => %e.kind(), "error" => %e);
+            if e.kind() == Kind::InvalidSettings {
+                Exit::Usage
+            } else {
+                Exit::Failed
+            }
+        }
+    }
+}
+
+fn context(log: &Logger, statsd: Option<SocketAddr>) -> Result<Context> {
+    let metrics = match statsd {
+        Some(target) => metrics::to_statsd(target)?,
+        None => metrics::discard(),
+    };
+    Ok(Context {
+        log: log.new(o!()),
+        metrics,
+        timers: Timers::start(),
+        stop: CancellationToken::new(),
+        seed: None,
+    })
+}
+
+async fn stop_on_signal(log: Logger, stop: CancellationToken) {
+    let terminate = signal(SignalKind::terminate());
+    let interrupt = signal(SignalKind::interrupt());
+    let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
+        error!(log, "signal handlers failed to install");
+        return;
+    };
+    let name = tokio::select! {
+        _ = terminate.recv() => "SIGTERM",
+        _ = interrupt.recv() => "SIGINT",
+    };
+    info!(log, "stop requested"; "signal" => name);
+    stop.cancel();
+}
