--- /dev/null
+++ b/crates/eelgrassramp/src/entry/classify.rs
@@ -0,0 +1,266 @@
+//! From a caller's HTTP request to what the entry decides by.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::error::Error;
+use crate::error::Kind;
+use crate::error::Result;
+use crate::key;
+use crate::key::Key;
+use crate::name::AccountName;
+use crate::name::is_valid_name;
+use crate::routing::block_hashes;
+use crate::tables::Pool;
+use crate::tables::PoolKind;
+use crate::tables::Route;
+use crate::tables::Tables;
+use crate::wire::Call;
+use crate::wire::Header;
+
+/// Names of the headers that the entry reads and writes.
+pub mod header {
+    /// Names the client account.
+    pub const ACCOUNT: &str = "eelgrassramp-account";
+    /// Makes repetitions of a request recognisable.
+    pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+    /// Time for the whole answer, in milliseconds.
+    pub const DEADLINE_MS: &str = "eelgrassramp-deadline-ms";
+    /// Tells whether the request ran: `no`, `maybe` or `yes`.
+    pub const RAN: &str = "eelgrassramp-ran";
+    /// The request's identity, as it stands in logs.
+    pub const REQUEST: &str = "eelgrassramp-request";
+}
+
+/// The account of requests that name none.
+const ANONYMOUS: &str = "anonymous";
+
+/// Bytes of request text that count as one token.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Headers that belong to one connection and are never passed on.
+const CONNECTION_HEADERS: [&str; 11] = [
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// A caller's request as it was received.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallerRequest {
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Headers with lower-case names.
+    pub headers: Vec<Header>,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl CallerRequest {
+    /// Returns the path without the query.
+    #[must_use]
+    pub fn path_only(&self) -> &str {
+        self.path.split('?').next().unwrap_or_default()
+    }
+
+    fn header(&self, name: &str) -> Result<Option<&str>> {
+        let Some(found) = self.headers.iter().find(|h| h.name == name) else {
+            return Ok(None);
+        };
+        std::str::from_utf8(&found.value)
+            .map(Some)
+            .map_err(|e| bad(&format!("header {name:?}"), &e.to_string()))
+    }
+}
+
+/// A request with everything that decides its way.
+#[derive(Debug, Clone)]
+pub(super) struct Classified {
+    pub route: Arc<Route>,
+    pub pool: Arc<Pool>,
+    pub account: AccountName,
+    pub key: Option<Key>,
+    pub fingerprint: u64,
+    pub time_limit: Duration,
+    pub prefill_tokens: u32,
+    pub output_limit: Option<u32>,
+    pub prefix: Vec<u64>,
+    pub call: Call,
+}
+
+impl Classified {
+    pub fn is_model(&self) -> bool {
+        self.pool.kind == PoolKind::Model
+    }
+}
+
+/// The parts of an inference request that matter for scheduling.
+#[derive(Debug, Default, Deserialize)]
+struct ModelBody {
+    model: Option<String>,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+    #[serde(default)]
+    prompt: Value,
+    #[serde(default)]
+    messages: Vec<Message>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    #[serde(default)]
+    content: Value,
+}
+
+/// Finds the route and everything that decides a request's way.
+pub(super) fn classify(tables: &Tables, req: CallerRequest) -> Result<Classified> {
+    let account = account(&req)?;
+    let deadline = deadline(&req)?;
+    let body = model_body(&req.body);
+    let named = body.as_ref().ok().and_then(|b| b.model.as_deref());
+    let route = find_route(tables, req.path_only(), named)?;
+    if req.body.len() > route.max_body_bytes {
+        let detail = format!(
+            "body of {} bytes exceeds {} (route \"{}\")",
+            req.body.len(),
+            route.max_body_bytes,
+            route.name
+        );
+        return Err(Error::new(Kind::RequestTooLarge, detail));
+    }
+    let pool = tables.pool_of(route).ok_or_else(|| {
+        let detail = format!("pool \"{}\" does not exist (route \"{}\")", route.pool, route.name);
+        Error::new(Kind::PoolUnavailable, detail)
+    })?;
+    let body = match pool.kind {
+        PoolKind::Model => body?,
+        PoolKind::Service => ModelBody::default(),
+    };
+    let key = req
+        .header(header::IDEMPOTENCY_KEY)?
+        .map(|text| Key::new(&account, text))
+        .transpose()?;
+    let prompt = body.prompt_text();
+    let text_bytes = match pool.kind {
+        PoolKind::Model => prompt.len(),
+        PoolKind::Service => 0,
+    };
+    Ok(Classified {
+        fingerprint: key::body_hash(&req.method, &req.path, &req.body),
+        time_limit: deadline.map_or(route.timeout, |d| d.min(route.timeout)),
+        prefill_tokens: u32::try_from(text_bytes / BYTES_PER_TOKEN + 1).unwrap_or(u32::MAX),
+        output_limit: body.max_completion_tokens.or(body.max_tokens),
+        prefix: block_hashes(&prompt),
+        route: Arc::clone(route),
+        pool: Arc::clone(pool),
+        account,
+        key,
+        call: call(req),
+    })
+}
+
+/// Returns the largest body that a request to `path` may have.
+pub(super) fn max_body_bytes(tables: &Tables, path: &str) -> Result<usize> {
+    tables
+        .routes
+        .iter()
+        .filter(|r| r.matches(path, r.model.as_deref()))
+        .map(|r| r.max_body_bytes)
+        .max()
+        .ok_or_else(|| no_route(path))
+}
+
+fn find_route<'a>(tables: &'a Tables, path: &str, model: Option<&str>) -> Result<&'a Arc<Route>> {
+    tables.route(path, model).ok_or_else(|| match model {
+        Some(model) => {
+            let detail = format!("no route matches path {path:?} and model {model:?}");
+            Error::new(Kind::UnknownRoute, detail)
+        }
+        None => no_route(path),
+    })
+}
+
+fn no_route(path: &str) -> Error {
+    Error::new(Kind::UnknownRoute, format!("no route matches path {path:?}"))
+}
+
+fn account(req: &CallerRequest) -> Result<AccountName> {
+    let name = req.header(header::ACCOUNT)?.unwrap_or(ANONYMOUS);
+    if !is_valid_name(name) {
+        let what = format!("header \"{}\"", header::ACCOUNT);
+        return Err(bad(&what, "not a valid name"));
+    }
+    Ok(name.into())
+}
+
+fn deadline(req: &CallerRequest) -> Result<Option<Duration>> {
+    let Some(text) = req.header(header::DEADLINE_MS)? else {
+        return Ok(None);
+    };
+    let what = format!("header \"{}\"", header::DEADLINE_MS);
+    match text.parse() {
+        Ok(0) => Err(bad(&what, "must be at least 1")),
+        Ok(ms) => Ok(Some(Duration::from_millis(ms))),
+        Err(e) => Err(bad(&what, &e.to_string())),
+    }
+}
+
+fn model_body(body: &[u8]) -> Result<ModelBody> {
+    serde_json::from_slice(body).map_err(|e| bad("body", &e.to_string()))
+}
+
+fn bad(what: &str, cause: &str) -> Error {
+    Error::new(Kind::BadRequest, format!("{what}: {cause}"))
+}
+
+impl ModelBody {
+    /// Returns the prompt as one text, in the order in which an engine reads it.
+    fn prompt_text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        push_text(&self.prompt, &mut text);
+        for message in &self.messages {
+            push_text(&message.content, &mut text);
+        }
+        text
+    }
+}
+
+fn push_text(value: &Value, text: &mut Vec<u8>) {
+    match value {
+        Value::String(s) => text.extend_from_slice(s.as_bytes()),
+        Value::Array(parts) => parts.iter().for_each(|part| push_text(part, text)),
+        Value::Object(part) => {
+            if let Some(inner) = part.get("text") {
+                push_text(inner, text);
+            }
+        }
+        Value::Null | Value::Bool(_) | Value::Number(_) => {}
+    }
+}
+
+fn call(req: CallerRequest) -> Call {
+    let passes = |h: &Header| {
+        let name = h.name.as_str();
+        !CONNECTION_HEADERS.contains(&name) && name != header::DEADLINE_MS
+    };
+    Call {
+        method: req.method,
+        path: req.path,
+        headers: req.headers.into_iter().filter(passes).collect(),
+        body: req.body,
+    }
+}
--- /dev/null
+++ b/crates/eelgrassramp/src/entry/histograms.rs
@@ -0,0 +1,142 @@
+//! Latency histograms for each tier and client account.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::name::AccountName;
+use crate::num;
+use crate::tier::Tier;
+
+/// Largest recorded time in microseconds, one hour.
+const MAX_MICROS: u64 = 3_600_000_000;
+
+const SIGNIFICANT_DIGITS: u8 = 2;
+
+/// The account under which all accounts beyond the limit are summed up.
+const OTHER_ACCOUNTS: &str = "other";
+
+/// The measured times of one tier and client account.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Series {
+    /// The tier.
+    pub tier: Tier,
+    /// The client account.
+    pub account: AccountName,
+    /// Requests answered whole.
+    pub whole: u64,
+    /// Requests that ended with an error.
+    pub failed: u64,
+    /// Time to the first byte of the answer.
+    pub first_byte_ms: Quantiles,
+    /// Time to the last byte of the answer.
+    pub total_ms: Quantiles,
+}
+
+/// Quantiles of a measured time in milliseconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub struct Quantiles {
+    /// Half of the requests took at most this.
+    pub p50: f64,
+    /// 95 in 100 took at most this.
+    pub p95: f64,
+    /// 99 in 100 took at most this.
+    pub p99: f64,
+    /// The longest.
+    pub max: f64,
+}
+
+#[derive(Debug)]
+struct Record {
+    whole: u64,
+    failed: u64,
+    first_byte: Histogram<u64>,
+    total: Histogram<u64>,
+}
+
+/// Histograms of a bounded number of accounts.
+#[derive(Debug)]
+pub(super) struct Histograms {
+    max_accounts: usize,
+    records: BTreeMap<(Tier, AccountName), Record>,
+}
+
+impl Histograms {
+    pub const fn new(max_accounts: usize) -> Self {
+        Self {
+            max_accounts,
+            records: BTreeMap::new(),
+        }
+    }
+
+    pub fn whole(
+        &mut self,
+        tier: Tier,
+        account: &AccountName,
+        first_byte: Duration,
+        total: Duration,
+    ) {
+        let record = self.record(tier, account);
+        record.whole += 1;
+        record.first_byte.saturating_record(micros(first_byte));
+        record.total.saturating_record(micros(total));
+    }
+
+    pub fn failed(&mut self, tier: Tier, account: &AccountName) {
+        self.record(tier, account).failed += 1;
+    }
+
+    pub fn to_series(&self) -> Vec<Series> {
+        self.records
+            .iter()
+            .map(|((tier, account), record)| Series {
+                tier: *tier,
+                account: account.clone(),
+                whole: record.whole,
+                failed: record.failed,
+                first_byte_ms: quantiles(&record.first_byte),
+                total_ms: quantiles(&record.total),
+            })
+            .collect()
+    }
+
+    fn record(&mut self, tier: Tier, account: &AccountName) -> &mut Record {
+        let mut key = (tier, account.clone());
+        let is_new = !self.records.contains_key(&key);
+        if is_new && self.records.len() >= self.max_accounts * Tier::ALL.len() {
+            key.1 = OTHER_ACCOUNTS.into();
+        }
+        self.records.entry(key).or_insert_with(Record::new)
+    }
+}
+
+impl Record {
+    fn new() -> Self {
+        let histogram = || {
+            Histogram::new_with_max(MAX_MICROS, SIGNIFICANT_DIGITS)
+                .expect("the bounds of the histogram are valid")
+        };
+        Self {
+            whole: 0,
+            failed: 0,
+            first_byte: histogram(),
+            total: histogram(),
+        }
+    }
+}
+
+fn micros(d: Duration) -> u64 {
+    num::micros(d).clamp(1, MAX_MICROS)
+}
+
+fn quantiles(histogram: &Histogram<u64>) -> Quantiles {
+    let at = |q| histogram.value_at_quantile(q) as f64 / 1_000.0;
+    Quantiles {
+        p50: at(0.50),
+        p95: at(0.95),
+        p99: at(0.99),
+        max: histogram.max() as f64 / 1_000.0,
+    }
+}
--- /dev/null
+++ b/crates/eelgrassramp/src/entry/keys.rs
@@ -0,0 +1,39 @@
+//! Idempotency keys whose requests are in progress at this entry.
+
+use std::collections::HashMap;
+
+use crate::error::Error;
+use crate::error::Kind;
+use crate::error::Result;
+use crate::id::RequestId;
+
+/// Keys in progress here; the keys' homes remember the rest.
+#[derive(Debug, Default)]
+pub(super) struct Keys {
+    running: HashMap<RequestId, u64>,
+}
+
+impl Keys {
+    /// Notes that a request with `key` begins.
+    pub fn begin(&mut self, key: RequestId, fingerprint: u64) -> Result<()> {
+        match self.running.get(&key) {
+            None => {
+                self.running.insert(key, fingerprint);
+                Ok(())
+            }
+            Some(known) if *known == fingerprint => Err(Error::new(
+                Kind::KeyInProgress,
+                "a request with the same idempotency key is in progress",
+            )),
+            Some(_) => Err(Error::new(
+                Kind::KeyReused,
+                "another request with the same idempotency key is in progress",
+            )),
+        }
+    }
+
+    /// Notes that the request with `key` has ended.
+    pub fn end(&mut self, key: RequestId) {
+        self.running.remove(&key);
+    }
+}
--- a/crates/eelgrassramp/src/proof.rs
+++ b/crates/eelgrassramp/src/proof.rs
@@ -92,3 +92,26 @@
         self.cause
     }
 }
+
+/// The right to dispatch a request once.
+///
+/// A request is accepted with one; each dispatch takes it by value, and only a [`NotRun`] of
+/// that dispatch gives another. A request can thus not be under way twice at a time.
+#[derive(Debug)]
+pub struct Unsent {
+    _private: (),
+}
+
+impl Unsent {
+    /// Gives a newly accepted request its right to be dispatched.
+    #[must_use]
+    pub(crate) const fn accepted() -> Self {
+        Self { _private: () }
+    }
+}
+
+impl From<NotRun> for Unsent {
+    fn from(_proof: NotRun) -> Self {
+        Self { _private: () }
+    }
+}
--- a/crates/eelgrassramp/src/routing/health.rs
+++ b/crates/eelgrassramp/src/routing/health.rs
@@ -16,8 +16,9 @@
 /// Factor on the expected completion time at the moment of return.
 const RETURN_PENALTY: f64 = 4.0;
 
-/// Time for which an endpoint that refused a connection is not asked for work.
-const UNREACHABLE_TIME: Duration = Duration::from_millis(500);
+/// Time for which an endpoint that could not be reached is not asked for work, unless it
+/// answers a report before.
+const UNREACHABLE_TIME: Duration = Duration::from_millis(1_500);
 
 /// How a dispatch went, as far as the endpoint is to be judged by it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- /dev/null
+++ b/crates/eelgrassramp/src/routing/pool.rs
@@ -0,0 +1,201 @@
+//! One pool as this entry sees it.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::prefix::MAX_SLOTS;
+use super::prefix::PrefixIndex;
+use super::view::View;
+use crate::name::EndpointName;
+use crate::name::EntryName;
+use crate::name::VersionName;
+use crate::tables::Pool;
+use crate::time::Monotonic;
+use crate::wire::Load;
+
+/// Endpoints of one version that one entry talks to, so that connections and reports do not
+/// grow with entries times endpoints.
+const SUBSET_SIZE: usize = 24;
+
+/// Largest part of a subset that may be ejected at a time.
+const MAX_EJECTED_PERCENT: usize = 40;
+
+#[derive(Debug)]
+pub(super) struct PoolView {
+    pub pool: Arc<Pool>,
+    pub views: Vec<View>,
+    pub prefix: PrefixIndex,
+    pub turn: usize,
+    by_name: HashMap<EndpointName, usize>,
+    /// Positions in `views` of the endpoints that this entry talks to, by version.
+    subsets: BTreeMap<VersionName, Vec<usize>>,
+    /// The bit of each view in the prefix index.
+    slots: HashMap<EndpointName, usize>,
+}
+
+impl PoolView {
+    pub fn new(entry: &EntryName, pool: Arc<Pool>) -> Self {
+        let mut view = Self {
+            pool: Arc::clone(&pool),
+            views: Vec::new(),
+            prefix: PrefixIndex::default(),
+            turn: 0,
+            by_name: HashMap::new(),
+            subsets: BTreeMap::new(),
+            slots: HashMap::new(),
+        };
+        view.sync(entry, pool);
+        view
+    }
+
+    /// Takes a new row of the pool table and keeps what is known of endpoints that stay.
+    pub fn sync(&mut self, entry: &EntryName, pool: Arc<Pool>) {
+        let mut known: HashMap<EndpointName, View> = self
+            .views
+            .drain(..)
+            .map(|v| (v.endpoint.name.clone(), v))
+            .collect();
+        for endpoint in pool.endpoints.values() {
+            let view = match known.remove(&endpoint.name) {
+                Some(mut view) if view.endpoint.sidecar == endpoint.sidecar => {
+                    if view.endpoint.version != endpoint.version {
+                        view.version = endpoint.version.clone();
+                    }
+                    view.endpoint = Arc::clone(endpoint);
+                    view
+                }
+                _ => View::new(Arc::clone(endpoint)),
+            };
+            self.views.push(view);
+        }
+        self.by_name = (0..)
+            .zip(&self.views)
+            .map(|(i, v)| (v.endpoint.name.clone(), i))
+            .collect();
+        self.pool = pool;
+        self.choose_subsets(entry);
+    }
+
+    pub fn position(&self, endpoint: &EndpointName) -> Option<usize> {
+        self.by_name.get(endpoint).copied()
+    }
+
+    pub fn get_mut(&mut self, endpoint: &EndpointName) -> Option<&mut View> {
+        let i = self.position(endpoint)?;
+        self.views.get_mut(i)
+    }
+
+    /// Returns the positions of the endpoints of `version` that this entry talks to.
+    pub fn subset(&self, version: &VersionName) -> &[usize] {
+        self.subsets.get(version).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the positions of all endpoints that this entry talks to.
+    pub fn all_subsets(&self) -> impl Iterator<Item = usize> {
+        self.subsets.values().flatten().copied()
+    }
+
+    pub fn slot(&self, i: usize) -> Option<usize> {
+        let view = self.views.get(i)?;
+        self.slots.get(&view.endpoint.name).copied()
+    }
+
+    /// Takes the version that an endpoint says it serves.
+    pub fn set_version(&mut self, entry: &EntryName, i: usize, version: &VersionName) {
+        let Some(view) = self.views.get_mut(i) else {
+            return;
+        };
+        if view.version != *version {
+            view.version = version.clone();
+            self.choose_subsets(entry);
+        }
+    }
+
+    pub fn observe(&mut self, now: Monotonic, basis: Monotonic, i: usize, load: Load) {
+        let Some(view) = self.views.get_mut(i) else {
+            return;
+        };
+        let is_other_life = view.observe(now, basis, load);
+        if is_other_life && let Some(slot) = self.slot(i) {
+            self.prefix.forget(slot);
+        }
+    }
+
+    /// Returns the mean backlog of the endpoints that this entry talks to, in tokens.
+    pub fn mean_backlog(&self, version: &VersionName) -> f64 {
+        let loads = self
+            .subset(version)
+            .iter()
+            .filter_map(|i| self.views.get(*i)?.load());
+        let (sum, count) = loads.fold((0.0, 0u32), |(sum, count), load| {
+            (sum + load.backlog_tokens as f64, count + 1)
+        });
+        sum / f64::from(count.max(1))
+    }
+
+    /// Tells whether one more endpoint may be ejected.
+    pub fn may_eject(&self, now: Monotonic) -> bool {
+        let (total, ejected) = self
+            .all_subsets()
+            .filter_map(|i| self.views.get(i))
+            .fold((0usize, 0usize), |(total, ejected), view| {
+                (total + 1, ejected + usize::from(view.health.is_ejected(now)))
+            });
+        (ejected + 1) * 100 <= total * MAX_EJECTED_PERCENT
+    }
+
+    fn choose_subsets(&mut self, entry: &EntryName) {
+        let seed = xxh3_64_with_seed(entry.as_str().as_bytes(), 0);
+        let mut by_score: Vec<(u64, usize)> = (0..)
+            .zip(&self.views)
+            .map(|(i, v)| {
+                let name = v.endpoint.name.as_str().as_bytes();
+                (xxh3_64_with_seed(name, seed), i)
+            })
+            .collect();
+        by_score.sort_unstable();
+        self.subsets.clear();
+        for (_, i) in by_score {
+            let Some(view) = self.views.get(i) else {
+                continue;
+            };
+            let subset = self.subsets.entry(view.version.clone()).or_default();
+            if subset.len() < SUBSET_SIZE {
+                subset.push(i);
+            }
+        }
+        self.assign_slots();
+    }
+
+    fn assign_slots(&mut self) {
+        let wanted: Vec<EndpointName> = self
+            .all_subsets()
+            .filter_map(|i| Some(self.views.get(i)?.endpoint.name.clone()))
+            .collect();
+        let gone: Vec<EndpointName> = self
+            .slots
+            .keys()
+            .filter(|name| !wanted.contains(name))
+            .cloned()
+            .collect();
+        for name in gone {
+            if let Some(slot) = self.slots.remove(&name) {
+                self.prefix.forget(slot);
+            }
+        }
+        let mut free = u64::MAX;
+        for slot in self.slots.values() {
+            free &= !(1 << slot);
+        }
+        for name in wanted {
+            let slot = free.trailing_zeros() as usize;
+            if slot < MAX_SLOTS && !self.slots.contains_key(&name) {
+                free &= !(1 << slot);
+                self.slots.insert(name, slot);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/eelgrassramp/src/routing/router.rs
@@ -0,0 +1,581 @@
+//! The router's state and its decision.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::RngExt;
+
+use super::health::Outcome;
+use super::knowledge::Knowledge;
+use super::length::OutputLength;
+use super::policy::Policy;
+use super::pool::PoolView;
+use super::prefix::BLOCK_BYTES;
+use super::prefix::Depths;
+use super::view::View;
+use crate::error::Kind;
+use crate::id::ClockMark;
+use crate::id::Incarnation;
+use crate::id::RequestId;
+use crate::id::TableVersion;
+use crate::name::DomainName;
+use crate::name::EndpointName;
+use crate::name::EntryName;
+use crate::name::PoolName;
+use crate::name::RouteName;
+use crate::name::VersionName;
+use crate::tables::Endpoint;
+use crate::tables::Pool;
+use crate::tables::Tables;
+use crate::tier::Tier;
+use crate::time::Monotonic;
+use crate::wire::Load;
+use crate::wire::Report;
+
+/// Endpoints drawn at random for one decision.
+const RANDOM_CANDIDATES: usize = 3;
+
+/// Endpoints that join the drawn ones because they hold the longest prefix.
+const PREFIX_CANDIDATES: usize = 2;
+
+/// Factor on the expected completion time of an endpoint in another failure domain.
+const OTHER_DOMAIN_FACTOR: f64 = 1.05;
+
+/// Part of a cached prefix that counts while cache events are known to be missing.
+const UNSURE_PREFIX_FACTOR: f64 = 0.5;
+
+/// Bytes of prompt text that make one token.
+pub(crate) const BYTES_PER_TOKEN: usize = 4;
+
+/// What an endpoint is wanted for.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// The request.
+    pub request: RequestId,
+    /// What decides the side of a split: the idempotency key, or else the request.
+    pub draw: RequestId,
+    /// The route.
+    pub route: &'a RouteName,
+    /// How urgent the request is.
+    pub tier: Tier,
+    /// Predicted work in tokens.
+    pub tokens: u64,
+    /// Hash chain of the prompt's prefix blocks.
+    pub prefix: &'a [u64],
+    /// Endpoints that were tried before.
+    pub tried: &'a [EndpointName],
+    /// The only endpoint that may serve the request, as with an idempotency key.
+    pub home: Option<&'a EndpointName>,
+}
+
+/// A chosen endpoint, with what a dispatch to it has to carry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// The endpoint.
+    pub endpoint: Arc<Endpoint>,
+    /// The version that it serves.
+    pub version: VersionName,
+    /// The life of its sidecar.
+    pub incarnation: Incarnation,
+    /// The sidecar's clock as last heard.
+    pub mark: ClockMark,
+    /// Expected time until the answer is whole.
+    pub expected: Duration,
+}
+
+/// The outcome of a decision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Choice {
+    /// The endpoint takes the request; it counts as sent from now on.
+    Send(Candidate),
+    /// Every endpoint has as much work as it can start; the request waits.
+    Full,
+    /// No endpoint has reported yet; the request waits.
+    Unreported,
+    /// No endpoint can take the request.
+    Refused(Kind),
+}
+
+/// An endpoint whose report is wanted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PollTarget {
+    /// The pool.
+    pub pool: PoolName,
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// Where its sidecar listens.
+    pub sidecar: SocketAddr,
+    /// Sequence number of the last cache event known.
+    pub cache_seq: u64,
+}
+
+/// Knows the endpoints of all pools and chooses among them.
+#[derive(Debug)]
+pub struct Router {
+    entry: EntryName,
+    domain: DomainName,
+    policy: Policy,
+    tables: TableVersion,
+    pools: HashMap<PoolName, PoolView>,
+    knowledge: Knowledge,
+    lengths: HashMap<RouteName, OutputLength>,
+}
+
+impl Router {
+    /// Creates a router that knows no endpoint.
+    #[must_use]
+    pub fn new(entry: EntryName, domain: DomainName, policy: Policy) -> Self {
+        Self {
+            entry,
+            domain,
+            policy,
+            tables: TableVersion::default(),
+            pools: HashMap::new(),
+            knowledge: Knowledge::default(),
+            lengths: HashMap::new(),
+        }
+    }
+
+    /// Returns what is known besides the tables.
+    #[must_use]
+    pub const fn knowledge(&self) -> &Knowledge {
+        &self.knowledge
+    }
+
+    /// Gives access to what is known besides the tables.
+    pub const fn knowledge_mut(&mut self) -> &mut Knowledge {
+        &mut self.knowledge
+    }
+
+    /// Follows the tables in force; does nothing when they are known.
+    pub fn sync(&mut self, tables: &Tables) {
+        if tables.version <= self.tables && !self.pools.is_empty() {
+            return;
+        }
+        self.tables = tables.version;
+        self.pools.retain(|name, _| tables.pools.contains_key(name));
+        for (name, pool) in &tables.pools {
+            match self.pools.get_mut(name) {
+                Some(view) => view.sync(&self.entry, Arc::clone(pool)),
+                None => {
+                    let view = PoolView::new(&self.entry, Arc::clone(pool));
+                    self.pools.insert(name.clone(), view);
+                }
+            }
+        }
+        self.lengths
+            .retain(|name, _| tables.routes.iter().any(|r| r.name == *name));
+    }
+
+    /// Predicts the tokens that a request of `route` generates.
+    #[must_use]
+    pub fn predict_output(&self, route: &RouteName, limit: Option<u32>) -> u32 {
+        match self.lengths.get(route) {
+            Some(lengths) => lengths.predict(limit),
+            None => OutputLength::default().predict(limit),
+        }
+    }
+
+    /// Records the tokens that a request of `route` generated.
+    pub fn record_output(&mut self, route: &RouteName, tokens: u32) {
+        match self.lengths.get_mut(route) {
+            Some(lengths) => lengths.record(tokens),
+            None => self
+                .lengths
+                .entry(route.clone())
+                .or_default()
+                .record(tokens),
+        }
+    }
+
+    /// Chooses an endpoint and counts the request as sent to it.
+    ///
+    /// Every [`Choice::Send`] has to be followed by one [`Self::ended`].
+    pub fn choose(
+        &mut self,
+        now: Monotonic,
+        pool: &PoolName,
+        ask: &Ask<'_>,
+        rng: &mut impl Rng,
+    ) -> Choice {
+        let Some(view) = self.pools.get(pool) else {
+            return Choice::Refused(Kind::PoolUnavailable);
+        };
+        let position = match ask.home {
+            Some(home) => self.at_home(now, view, home),
+            None => self.best(now, view, ask, rng),
+        };
+        match position {
+            Ok(i) => self.reserve(now, pool, i, ask),
+            Err(choice) => choice,
+        }
+    }
+
+    /// Ends what [`Self::choose`] began.
+    pub fn ended(
+        &mut self,
+        now: Monotonic,
+        pool: &PoolName,
+        endpoint: &EndpointName,
+        request: RequestId,
+        outcome: Outcome,
+    ) {
+        let Some(pool) = self.pools.get_mut(pool) else {
+            return;
+        };
+        let may_eject = pool.may_eject(now);
+        if let Some(view) = pool.get_mut(endpoint) {
+            view.ended(request);
+            view.health.record(now, outcome, may_eject);
+        }
+    }
+
+    /// Takes a load that counts everything sent until `basis`.
+    pub fn observe_load(
+        &mut self,
+        now: Monotonic,
+        basis: Monotonic,
+        pool: &PoolName,
+        endpoint: &EndpointName,
+        load: Load,
+    ) {
+        let Some(pool) = self.pools.get_mut(pool) else {
+            return;
+        };
+        if let Some(i) = pool.position(endpoint) {
+            pool.observe(now, basis, i, load);
+        }
+    }
+
+    /// Takes the report that was asked for at `asked`.
+    pub fn observe_report(
+        &mut self,
+        now: Monotonic,
+        asked: Monotonic,
+        target: &PollTarget,
+        report: &Report,
+    ) {
+        for brake in &report.brakes {
+            self.knowledge.add_brake(brake.clone());
+        }
+        if let Some(split) = &report.split {
+            self.knowledge.add_split(split.clone());
+        }
+        let Some(pool) = self.pools.get_mut(&target.pool) else {
+            return;
+        };
+        let Some(i) = pool.position(&target.endpoint) else {
+            return;
+        };
+        pool.observe(now, asked, i, report.load);
+        pool.set_version(&self.entry, i, &report.version);
+        if let Some(slot) = pool.slot(i) {
+            pool.prefix.update(slot, target.cache_seq, &report.cache);
+        }
+    }
+
+    /// Takes note that a sidecar did not answer a report.
+    pub fn report_failed(&mut self, now: Monotonic, target: &PollTarget) {
+        let Some(pool) = self.pools.get_mut(&target.pool) else {
+            return;
+        };
+        let may_eject = pool.may_eject(now);
+        if let Some(view) = pool.get_mut(&target.endpoint) {
+            view.health.record(now, Outcome::Unreachable, may_eject);
+        }
+    }
+
+    /// Returns the endpoint whose report is wanted most, and takes note that it is asked now.
+    ///
+    /// No endpoint is asked more often than every `interval`.
+    pub fn next_poll(&mut self, now: Monotonic, interval: Duration) -> Option<PollTarget> {
+        let mut best: Option<(Duration, PoolName, usize)> = None;
+        for (name, pool) in &self.pools {
+            for i in pool.all_subsets() {
+                let Some(wait) = pool.views.get(i).and_then(|v| overdue(v, now, interval)) else {
+                    continue;
+                };
+                if best.as_ref().is_none_or(|(most, ..)| wait > *most) {
+                    best = Some((wait, name.clone(), i));
+                }
+            }
+        }
+        let (_, name, i) = best?;
+        let pool = self.pools.get_mut(&name)?;
+        let cache_seq = pool.slot(i).map_or(0, |slot| pool.prefix.asked_seq(slot));
+        let view = pool.views.get_mut(i)?;
+        view.asked_at = Some(now);
+        Some(PollTarget {
+            pool: name,
+            endpoint: view.endpoint.name.clone(),
+            sidecar: view.endpoint.sidecar,
+            cache_seq,
+        })
+    }
+
+    /// Tells whether some endpoint of every pool has reported.
+    #[must_use]
+    pub fn has_reports(&self) -> bool {
+        self.pools
+            .values()
+            .all(|pool| pool.views.is_empty() || pool.views.iter().any(|v| v.load().is_some()))
+    }
+
+    /// Tells whether every endpoint that an order could go to refuses all less urgent work.
+    #[must_use]
+    pub fn floor_is_raised(&self, now: Monotonic, pool: &PoolName) -> bool {
+        let Some(pool) = self.pools.get(pool) else {
+            return true;
+        };
+        pool.views
+            .iter()
+            .filter(|v| self.is_usable(now, v))
+            .filter_map(View::load)
+            .all(|load| load.floor == Tier::Order)
+    }
+
+    /// Returns the measured speed of all usable endpoints of a pool, in tokens per second.
+    #[must_use]
+    pub fn pool_speed(&self, now: Monotonic, pool: &PoolName) -> f64 {
+        let Some(pool) = self.pools.get(pool) else {
+            return 0.0;
+        };
+        pool.views
+            .iter()
+            .filter(|v| self.is_usable(now, v))
+            .map(View::speed)
+            .sum()
+    }
+
+    /// Returns a sidecar's last load.
+    #[must_use]
+    pub fn load_of(&self, pool: &PoolName, endpoint: &EndpointName) -> Option<&Load> {
+        let pool = self.pools.get(pool)?;
+        pool.views.get(pool.position(endpoint)?)?.load()
+    }
+
+    fn is_usable(&self, now: Monotonic, view: &View) -> bool {
+        view.is_usable(now) && !self.knowledge.is_leaving(&view.endpoint.name)
+    }
+
+    fn at_home(
+        &self,
+        now: Monotonic,
+        pool: &PoolView,
+        home: &EndpointName,
+    ) -> Result<usize, Choice> {
+        let unavailable = Choice::Refused(Kind::PoolUnavailable);
+        let Some(i) = pool.position(home) else {
+            return Err(unavailable);
+        };
+        let Some(view) = pool.views.get(i) else {
+            return Err(unavailable);
+        };
+        if view.load().is_none() {
+            return Err(without_report(view));
+        }
+        if self.knowledge.is_braked(&pool.pool.name, &view.version) {
+            return Err(Choice::Refused(Kind::Braked));
+        }
+        if view.health.is_unreachable(now) {
+            return Err(unavailable);
+        }
+        Ok(i)
+    }
+
+    fn best(
+        &self,
+        now: Monotonic,
+        pool: &PoolView,
+        ask: &Ask<'_>,
+        rng: &mut impl Rng,
+    ) -> Result<usize, Choice> {
+        let Some(version) = self
+            .knowledge
+            .version_for(&pool.pool, ask.route, ask.draw)
+        else {
+            return Err(Choice::Refused(Kind::Braked));
+        };
+        let subset = pool.subset(&version);
+        let usable = self.usable(now, pool, subset, ask);
+        if usable.is_empty() {
+            return Err(nothing_usable(pool, subset));
+        }
+        if self.policy.ignores_load() {
+            return self.baseline(pool, &usable).ok_or(Choice::Full);
+        }
+        let room: Vec<usize> = usable
+            .into_iter()
+            .filter(|i| pool.views.get(*i).is_some_and(|v| v.has_room(ask.tier)))
+            .collect();
+        self.earliest(now, pool, &version, &room, ask, rng)
+            .ok_or(Choice::Full)
+    }
+
+    /// Leaves out what was tried before and what is ejected, unless nothing else is left.
+    fn usable(
+        &self,
+        now: Monotonic,
+        pool: &PoolView,
+        subset: &[usize],
+        ask: &Ask<'_>,
+    ) -> Vec<usize> {
+        let view = |i: &usize| pool.views.get(*i);
+        let mut usable: Vec<usize> = subset
+            .iter()
+            .copied()
+            .filter(|i| view(i).is_some_and(|v| self.is_usable(now, v)))
+            .collect();
+        let untried = |v: &View| !ask.tried.contains(&v.endpoint.name);
+        let in_service = |v: &View| !v.health.is_ejected(now);
+        for wanted in [&untried as &dyn Fn(&View) -> bool, &in_service] {
+            if usable.iter().any(|i| view(i).is_some_and(wanted)) {
+                usable.retain(|i| view(i).is_some_and(wanted));
+            }
+        }
+        usable
+    }
+
+    fn baseline(&self, pool: &PoolView, usable: &[usize]) -> Option<usize> {
+        if self.policy == Policy::RoundRobin {
+            return usable.get(pool.turn % usable.len()).copied();
+        }
+        usable
+            .iter()
+            .copied()
+            .min_by_key(|i| pool.views.get(*i).map(|v| v.outstanding))
+    }
+
+    fn earliest(
+        &self,
+        now: Monotonic,
+        pool: &PoolView,
+        version: &VersionName,
+        room: &[usize],
+        ask: &Ask<'_>,
+        rng: &mut impl Rng,
+    ) -> Option<usize> {
+        if room.is_empty() {
+            return None;
+        }
+        let depths = if self.policy.uses_prefix() {
+            pool.prefix.depths(ask.prefix)
+        } else {
+            Depths::default()
+        };
+        let mean = pool.mean_backlog(version);
+        let deepest = depths.deepest();
+        let holders = room
+            .iter()
+            .filter(|i| pool.slot(**i).is_some_and(|s| deepest & (1 << s) != 0))
+            .take(PREFIX_CANDIDATES);
+        let drawn = (0..RANDOM_CANDIDATES).map(|_| rng.random_range(0..room.len()));
+        drawn
+            .filter_map(|n| room.get(n))
+            .chain(holders)
+            .copied()
+            .map(|i| (self.expected(now, pool, i, mean, &depths, ask), i))
+            .min()
+            .map(|(_, i)| i)
+    }
+
+    /// Returns the expected completion time, as a duration so that it can be ordered.
+    fn expected(
+        &self,
+        now: Monotonic,
+        pool: &PoolView,
+        i: usize,
+        mean: f64,
+        depths: &Depths,
+        ask: &Ask<'_>,
+    ) -> Duration {
+        let Some(view) = pool.views.get(i) else {
+            return Duration::MAX;
+        };
+        let saved = pool.slot(i).map_or(0.0, |slot| {
+            let trust = if pool.prefix.is_unsure(slot) {
+                UNSURE_PREFIX_FACTOR
+            } else {
+                1.0
+            };
+            trust * (depths.of(slot) * BLOCK_BYTES / BYTES_PER_TOKEN) as f64
+        });
+        let own = (ask.tokens as f64 - saved).max(1.0);
+        let seconds = (view.backlog(now, mean) + own) / view.speed();
+        let domain = if view.endpoint.domain == self.domain {
+            1.0
+        } else {
+            OTHER_DOMAIN_FACTOR
+        };
+        let weighted = seconds * domain * view.health.penalty(now);
+        Duration::try_from_secs_f64(weighted).unwrap_or(Duration::MAX)
+    }
+
+    fn reserve(&mut self, now: Monotonic, pool: &PoolName, i: usize, ask: &Ask<'_>) -> Choice {
+        let refused = Choice::Refused(Kind::PoolUnavailable);
+        let expected = match self.pools.get(pool) {
+            Some(view) => self.expected(now, view, i, 0.0, &Depths::default(), ask),
+            None => return refused,
+        };
+        let Some(pool) = self.pools.get_mut(pool) else {
+            return refused;
+        };
+        pool.turn = pool.turn.wrapping_add(1);
+        if let Some(slot) = pool.slot(i) {
+            pool.prefix.expect(slot, ask.prefix);
+        }
+        let Some(view) = pool.views.get_mut(i) else {
+            return refused;
+        };
+        view.sent(now, ask.request, ask.tokens);
+        let Some(load) = view.load() else {
+            return refused;
+        };
+        Choice::Send(Candidate {
+            endpoint: Arc::clone(&view.endpoint),
+            version: view.version.clone(),
+            incarnation: load.incarnation,
+            mark: load.mark,
+            expected,
+        })
+    }
+}
+
+/// Returns the row of the pool table that a router decides by.
+impl Router {
+    /// Returns a pool's row as the router knows it.
+    #[must_use]
+    pub fn pool(&self, pool: &PoolName) -> Option<&Arc<Pool>> {
+        self.pools.get(pool).map(|view| &view.pool)
+    }
+}
+
+/// Returns how long ago an endpoint was due to be asked; `None` when it is not due.
+fn overdue(view: &View, now: Monotonic, interval: Duration) -> Option<Duration> {
+    let Some(asked) = view.asked_at else {
+        return Some(Duration::MAX);
+    };
+    if now.since(asked) < interval {
+        return None;
+    }
+    Some(now.since(asked).min(view.staleness(now)))
+}
+
+fn without_report(view: &View) -> Choice {
+    if view.asked_at.is_none() {
+        Choice::Unreported
+    } else {
+        Choice::Refused(Kind::PoolUnavailable)
+    }
+}
+
+fn nothing_usable(pool: &PoolView, subset: &[usize]) -> Choice {
+    let mut views = subset.iter().filter_map(|i| pool.views.get(*i));
+    if views.any(|v| v.load().is_none() && v.asked_at.is_none()) {
+        return Choice::Unreported;
+    }
+    Choice::Refused(Kind::PoolUnavailable)
+}
