--- a/crates/eelgrassramp/src/tables/model.rs
+++ b/crates/eelgrassramp/src/tables/model.rs
@@ -23,8 +23,8 @@
 pub struct Tables {
     /// The version that the object API accepted; it only ever grows.
     pub version: TableVersion,
-    /// Identifies the edit that made this version, so that a lost reply can be settled.
-    pub edit: Option<RequestId>,
+    /// The edit that made this version, so that a lost reply can be settled.
+    pub edit: Option<Edit>,
     /// The route table, in order of declaration; the first match wins.
     pub routes: Vec<Arc<Route>>,
     /// The pool table.
@@ -45,6 +45,19 @@
     }
 }
 
+/// Who made a version of the tables and on what.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Edit {
+    /// Identifies the edit.
+    pub id: RequestId,
+    /// When it was made, by the operator's clock.
+    pub at: Timestamp,
+    /// The version that it was made on.
+    pub base: TableVersion,
+    /// The operator's words.
+    pub message: Arc<str>,
+}
+
 /// One row of the route table: which requests it takes, how urgent they are, where they go.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Route {
