Add the fair queue that entries and sidecars hold waiting work in

Cause: both need one order of service: strict tiers, fair shares among client accounts, earliest deadline within an account, and a bound with a rule for who gives way.

Change: start-time fair queueing per tier. A full queue displaces the least urgent work; within a tier only the account with the most waiting for its weight gives way, and only while it keeps at least as much as the newcomer. A randomised run against a plain model showed that the bound on cost alone could refuse an order while one token of drafting work stayed, so a request may pass that bound when it took the place of all less urgent work.

--- /dev/null
+++ b/crates/eelgrassramp/src/admission.rs
@@ -0,0 +1,15 @@
+//! The order in which waiting requests are served, and which of them give way.
+//!
+//! Entries and sidecars hold waiting work in a [`FairQueue`]. It serves tiers strictly by
+//! urgency, shares each tier among client accounts by weight, and serves the earliest deadline
+//! of an account first; see `docs/design/admission.md`.
+
+mod queue;
+mod share;
+mod ticket;
+
+pub use self::queue::FairQueue;
+pub use self::queue::Pushed;
+pub use self::ticket::Entry;
+pub use self::ticket::Limits;
+pub use self::ticket::Ticket;
--- /dev/null
+++ b/crates/eelgrassramp/src/admission/queue.rs
@@ -0,0 +1,300 @@
+//! The queue itself: tiers, bounds, deadlines and who gives way.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use super::share::Position;
+use super::share::Shares;
+use super::share::Waiting;
+use super::ticket::Entry;
+use super::ticket::Limits;
+use super::ticket::Ticket;
+use crate::error::Kind;
+use crate::id::RequestId;
+use crate::tier::Tier;
+use crate::time::Monotonic;
+
+/// What became of a request that was pushed.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Pushed<T> {
+    /// The request waits.
+    Queued {
+        /// Requests that gave way to it; they never started.
+        displaced: Vec<Entry<T>>,
+    },
+    /// The request does not wait, and nothing gave way.
+    Refused {
+        /// Why it was refused.
+        kind: Kind,
+        /// The request itself.
+        entry: Entry<T>,
+    },
+}
+
+/// A bounded queue with strict tiers and fair shares among client accounts within each.
+///
+/// Every operation costs a logarithm of the queue's length per request that it moves. Memory
+/// follows from what waits: an idle account is forgotten once its debt is paid.
+///
+/// # Examples
+///
+/// ```
+/// use eelgrassramp::admission::{FairQueue, Limits, Pushed, Ticket};
+/// use eelgrassramp::{AccountName, Monotonic, RequestId, Tier};
+///
+/// let mut queue = FairQueue::new(Limits { items: 1, cost: 1000, per_account_items: 1 });
+/// let ticket = |id, tier| Ticket {
+///     request: RequestId::from_bits(id),
+///     tier,
+///     account: AccountName::from("counter-ica"),
+///     weight: 1,
+///     deadline: Monotonic::from_millis(500),
+///     cost: 10,
+///     non_idempotent: false,
+/// };
+///
+/// queue.push(Monotonic::ZERO, ticket(1, Tier::Draft), "draft");
+/// let pushed = queue.push(Monotonic::ZERO, ticket(2, Tier::Order), "order");
+///
+/// let Pushed::Queued { displaced } = pushed else { panic!("the order was refused") };
+/// assert_eq!(displaced[0].item, "draft");
+/// assert_eq!(queue.pop(Monotonic::ZERO).map(|e| e.item), Some("order"));
+/// ```
+#[derive(Debug)]
+pub struct FairQueue<T> {
+    limits: Limits,
+    tiers: [Shares; Tier::ALL.len()],
+    slots: HashMap<RequestId, Slot<T>>,
+    deadlines: BTreeSet<(Position, RequestId)>,
+    lapsed: Vec<Entry<T>>,
+    seq: u64,
+}
+
+#[derive(Debug)]
+struct Slot<T> {
+    at: Position,
+    entry: Entry<T>,
+}
+
+impl<T> FairQueue<T> {
+    /// Creates an empty queue.
+    #[must_use]
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            tiers: Default::default(),
+            slots: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            lapsed: Vec::new(),
+            seq: 0,
+        }
+    }
+
+    /// Adds a request; when the queue is full, less urgent ones give way or it is refused.
+    ///
+    /// While less urgent work waits, no request is refused for want of room. Within its own
+    /// tier a request displaces only work of the account that has the most waiting for its
+    /// weight, and only if that account keeps at least as much as its own.
+    pub fn push(&mut self, now: Monotonic, ticket: Ticket, item: T) -> Pushed<T> {
+        self.sweep(now);
+        let entry = Entry { ticket, item };
+        let room = self
+            .check(now, &entry.ticket)
+            .and_then(|()| self.plan_room(&entry.ticket));
+        let chosen = match room {
+            Ok(chosen) => chosen,
+            Err(kind) => return Pushed::Refused { kind, entry },
+        };
+        let displaced = self.make_room(&entry.ticket, chosen);
+        self.insert(entry);
+        Pushed::Queued { displaced }
+    }
+
+    /// Takes the request that is served next; never one whose deadline has passed.
+    pub fn pop(&mut self, now: Monotonic) -> Option<Entry<T>> {
+        self.sweep(now);
+        let tier = self.tiers.iter_mut().find(|t| t.len() > 0)?;
+        let waiting = tier.pop()?;
+        tier.forget_idle(self.limits.items);
+        Some(self.take_slot(waiting.request).entry)
+    }
+
+    /// Takes every request whose deadline has passed.
+    pub fn expire(&mut self, now: Monotonic) -> Vec<Entry<T>> {
+        self.sweep(now);
+        std::mem::take(&mut self.lapsed)
+    }
+
+    /// Takes one request out, for example because its caller has gone.
+    pub fn remove(&mut self, request: RequestId) -> Option<Entry<T>> {
+        if self.slots.contains_key(&request) {
+            return Some(self.detach(request));
+        }
+        let lapsed = |e: &Entry<T>| e.ticket.request == request;
+        let i = self.lapsed.iter().position(lapsed)?;
+        Some(self.lapsed.swap_remove(i))
+    }
+
+    /// Returns how many requests wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Tells whether no request waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
+    /// Returns the predicted work of all that waits, in tokens.
+    #[must_use]
+    pub fn cost(&self) -> u64 {
+        self.tiers.iter().map(Shares::cost).sum()
+    }
+
+    /// Returns the predicted work that can be served before a new request of `tier`.
+    #[must_use]
+    pub fn cost_ahead_of(&self, tier: Tier) -> u64 {
+        self.tiers[..=tier.rank()].iter().map(Shares::cost).sum()
+    }
+
+    /// Returns when the next deadline passes, so that the owner can call [`Self::expire`].
+    #[must_use]
+    pub fn next_deadline(&self) -> Option<Monotonic> {
+        let waiting = self.deadlines.first().map(|(at, _)| at.deadline);
+        let lapsed = self.lapsed.iter().map(|e| e.ticket.deadline).min();
+        lapsed.or(waiting)
+    }
+
+    /// Returns the most urgent tier that has waiting requests.
+    #[must_use]
+    pub fn most_urgent(&self) -> Option<Tier> {
+        let waits = |tier: &Tier| self.tiers[tier.rank()].len() > 0;
+        Tier::ALL.into_iter().find(waits)
+    }
+
+    /// Returns how many accounts the queue remembers, summed over tiers.
+    #[must_use]
+    pub fn accounts(&self) -> usize {
+        self.tiers.iter().map(Shares::accounts).sum()
+    }
+
+    fn check(&self, now: Monotonic, ticket: &Ticket) -> Result<(), Kind> {
+        if ticket.deadline <= now {
+            return Err(Kind::DeadlineExpired);
+        }
+        if self.slots.contains_key(&ticket.request) {
+            return Err(Kind::KeyInProgress);
+        }
+        let held = self.tiers[ticket.tier.rank()].len_of(&ticket.account);
+        if ticket.tier != Tier::Order && held >= self.limits.per_account_items {
+            return Err(Kind::Overloaded);
+        }
+        Ok(())
+    }
+
+    /// Chooses the requests of the same tier that give way.
+    ///
+    /// While less urgent work waits, that work gives way and nothing of the same tier does.
+    fn plan_room(&self, ticket: &Ticket) -> Result<Vec<RequestId>, Kind> {
+        let rank = ticket.tier.rank();
+        let less_urgent_waits = self.tiers[rank + 1..].iter().any(|t| t.len() > 0);
+        let items = self.excess_items();
+        let tokens = self.excess_cost(ticket);
+        if less_urgent_waits || (items == 0 && tokens == 0) {
+            return Ok(Vec::new());
+        }
+        self.tiers[rank]
+            .over_share(
+                &ticket.account,
+                ticket.weight,
+                self.cost_of(ticket),
+                items,
+                tokens,
+            )
+            .ok_or(Kind::Overloaded)
+    }
+
+    fn make_room(&mut self, ticket: &Ticket, chosen: Vec<RequestId>) -> Vec<Entry<T>> {
+        let mut displaced = Vec::new();
+        for request in chosen {
+            displaced.push(self.detach(request));
+        }
+        while self.excess_items() > 0 || self.excess_cost(ticket) > 0 {
+            let Some(victim) = self.least_urgent_after(ticket.tier) else {
+                break;
+            };
+            displaced.push(self.detach(victim.request));
+        }
+        assert!(self.excess_items() == 0, "no room was made");
+        let gives_way = |e: &Entry<T>| e.ticket.tier >= ticket.tier;
+        assert!(
+            displaced.iter().all(gives_way),
+            "displaced more urgent work"
+        );
+        displaced
+    }
+
+    fn least_urgent_after(&self, tier: Tier) -> Option<Waiting> {
+        let less_urgent = &self.tiers[tier.rank() + 1..];
+        less_urgent.iter().rev().find_map(Shares::least_urgent)
+    }
+
+    fn excess_items(&self) -> usize {
+        (self.len() + 1).saturating_sub(self.limits.items)
+    }
+
+    fn excess_cost(&self, ticket: &Ticket) -> u64 {
+        let own = self.cost_of(ticket);
+        let total = self.cost().saturating_add(own);
+        total.saturating_sub(self.limits.cost)
+    }
+
+    fn insert(&mut self, entry: Entry<T>) {
+        let ticket = &entry.ticket;
+        let at = Position {
+            deadline: ticket.deadline,
+            seq: self.seq,
+        };
+        let waiting = Waiting {
+            request: ticket.request,
+            cost: self.cost_of(ticket),
+        };
+        self.seq += 1;
+        self.tiers[ticket.tier.rank()].insert(&ticket.account, ticket.weight, at, waiting);
+        self.deadlines.insert((at, ticket.request));
+        self.slots.insert(ticket.request, Slot { at, entry });
+    }
+
+    fn sweep(&mut self, now: Monotonic) {
+        while let Some((at, request)) = self.deadlines.first().copied() {
+            if at.deadline > now {
+                return;
+            }
+            let entry = self.detach(request);
+            self.lapsed.push(entry);
+        }
+    }
+
+    fn detach(&mut self, request: RequestId) -> Entry<T> {
+        let Slot { at, entry } = self.take_slot(request);
+        let tier = &mut self.tiers[entry.ticket.tier.rank()];
+        let waiting = tier.remove(&entry.ticket.account, at);
+        assert!(waiting.is_some(), "request {request} was lost by its tier");
+        tier.forget_idle(self.limits.items);
+        entry
+    }
+
+    fn take_slot(&mut self, request: RequestId) -> Slot<T> {
+        let slot = self.slots.remove(&request);
+        let slot = slot.expect("a request that a tier names has a slot");
+        self.deadlines.remove(&(slot.at, request));
+        slot
+    }
+
+    /// Returns the cost that a request counts with; an oversized one counts as the whole bound.
+    fn cost_of(&self, ticket: &Ticket) -> u64 {
+        ticket.cost.min(self.limits.cost).max(1)
+    }
+}
--- /dev/null
+++ b/crates/eelgrassramp/src/admission/share.rs
@@ -0,0 +1,209 @@
+//! One tier's waiting work, shared among client accounts.
+//!
+//! This is start-time fair queueing: each account has a virtual start time that grows by
+//! cost ÷ weight with each request served, and the account with the lowest one is next. The
+//! difference in service between two accounts that both wait is at most one request of each.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use crate::id::RequestId;
+use crate::name::AccountName;
+use crate::time::Monotonic;
+
+/// Virtual time units of one token at weight 1, so that division by weights keeps precision.
+const UNITS_PER_TOKEN: u128 = 1 << 20;
+
+/// Work per weight, in [`UNITS_PER_TOKEN`].
+type Virtual = u128;
+
+/// Position of a request within its account: earliest deadline first, then order of arrival.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Position {
+    pub(super) deadline: Monotonic,
+    pub(super) seq: u64,
+}
+
+/// A request as its tier knows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Waiting {
+    pub(super) request: RequestId,
+    pub(super) cost: u64,
+}
+
+#[derive(Debug, Default)]
+struct Account {
+    waiting: BTreeMap<Position, Waiting>,
+    cost: u64,
+    weight: u32,
+    start: Virtual,
+}
+
+impl Account {
+    fn backlog(&self) -> Virtual {
+        per_weight(self.cost, self.weight)
+    }
+}
+
+/// The requests of one tier.
+#[derive(Debug, Default)]
+pub(super) struct Shares {
+    accounts: HashMap<AccountName, Account>,
+    by_start: BTreeSet<(Virtual, AccountName)>,
+    by_backlog: BTreeSet<(Virtual, AccountName)>,
+    idle: BTreeSet<(Virtual, AccountName)>,
+    now: Virtual,
+    len: usize,
+    cost: u64,
+}
+
+impl Shares {
+    pub(super) const fn len(&self) -> usize {
+        self.len
+    }
+
+    pub(super) const fn cost(&self) -> u64 {
+        self.cost
+    }
+
+    pub(super) fn len_of(&self, account: &AccountName) -> usize {
+        self.accounts.get(account).map_or(0, |a| a.waiting.len())
+    }
+
+    /// Returns how many accounts are remembered, waiting and idle ones.
+    pub(super) fn accounts(&self) -> usize {
+        self.accounts.len()
+    }
+
+    pub(super) fn insert(
+        &mut self,
+        name: &AccountName,
+        weight: u32,
+        at: Position,
+        waiting: Waiting,
+    ) {
+        self.detach(name);
+        let now = self.now;
+        let account = self.accounts.entry(name.clone()).or_default();
+        account.weight = weight.max(1);
+        account.start = account.start.max(now);
+        account.cost += waiting.cost;
+        let former = account.waiting.insert(at, waiting);
+        assert!(former.is_none(), "two requests at position {at:?}");
+        self.len += 1;
+        self.cost += waiting.cost;
+        self.attach(name);
+    }
+
+    pub(super) fn remove(&mut self, name: &AccountName, at: Position) -> Option<Waiting> {
+        self.take(name, at, false)
+    }
+
+    /// Takes the request that is served next and charges its account for it.
+    pub(super) fn pop(&mut self) -> Option<Waiting> {
+        let (start, name) = self.by_start.first()?.clone();
+        assert!(start >= self.now, "virtual time ran backwards");
+        self.now = start;
+        let at = *self.accounts.get(&name)?.waiting.first_key_value()?.0;
+        self.take(&name, at, true)
+    }
+
+    /// Returns the request that gives way first: the latest deadline of the account with the
+    /// most waiting work for its weight.
+    pub(super) fn least_urgent(&self) -> Option<Waiting> {
+        let (_, name) = self.by_backlog.last()?;
+        let (_, waiting) = self.accounts.get(name)?.waiting.last_key_value()?;
+        Some(*waiting)
+    }
+
+    /// Chooses requests that give way to one of `cost` from `newcomer`, so that at least
+    /// `items` requests and `tokens` of cost go; `None` when fairness does not allow it.
+    ///
+    /// They all belong to the account with the most waiting work for its weight, and that
+    /// account still has at least as much as `newcomer` afterwards.
+    pub(super) fn over_share(
+        &self,
+        newcomer: &AccountName,
+        weight: u32,
+        cost: u64,
+        items: usize,
+        tokens: u64,
+    ) -> Option<Vec<RequestId>> {
+        let (_, name) = self.by_backlog.last()?;
+        if name == newcomer {
+            return None;
+        }
+        let account = self.accounts.get(name)?;
+        let queued = self.accounts.get(newcomer).map_or(0, |a| a.cost);
+        let wanted = per_weight(queued + cost, weight);
+        let mut chosen = Vec::new();
+        let mut freed = 0;
+        for waiting in account.waiting.values().rev() {
+            if chosen.len() >= items && freed >= tokens {
+                break;
+            }
+            chosen.push(waiting.request);
+            freed += waiting.cost;
+        }
+        let enough = chosen.len() >= items && freed >= tokens;
+        let left = per_weight(account.cost - freed, account.weight);
+        (enough && left >= wanted).then_some(chosen)
+    }
+
+    /// Forgets idle accounts that have no debt any more, and more until at most `most` remain.
+    pub(super) fn forget_idle(&mut self, most: usize) {
+        while let Some((start, name)) = self.idle.first() {
+            if self.len > 0 && *start > self.now && self.idle.len() <= most {
+                return;
+            }
+            self.accounts.remove(name);
+            self.idle.pop_first();
+        }
+    }
+
+    fn take(&mut self, name: &AccountName, at: Position, charge: bool) -> Option<Waiting> {
+        self.detach(name);
+        let taken = self.accounts.get_mut(name).and_then(|account| {
+            let waiting = account.waiting.remove(&at)?;
+            account.cost -= waiting.cost;
+            if charge {
+                account.start += per_weight(waiting.cost, account.weight);
+            }
+            Some(waiting)
+        });
+        self.attach(name);
+        let taken = taken?;
+        self.len -= 1;
+        self.cost -= taken.cost;
+        Some(taken)
+    }
+
+    fn detach(&mut self, name: &AccountName) {
+        if let Some(account) = self.accounts.get(name) {
+            let start = (account.start, name.clone());
+            if account.waiting.is_empty() {
+                self.idle.remove(&start);
+            } else {
+                self.by_start.remove(&start);
+                self.by_backlog.remove(&(account.backlog(), name.clone()));
+            }
+        }
+    }
+
+    fn attach(&mut self, name: &AccountName) {
+        if let Some(account) = self.accounts.get(name) {
+            let start = (account.start, name.clone());
+            if account.waiting.is_empty() {
+                self.idle.insert(start);
+            } else {
+                self.by_start.insert(start);
+                self.by_backlog.insert((account.backlog(), name.clone()));
+            }
+        }
+    }
+}
+
+fn per_weight(cost: u64, weight: u32) -> Virtual {
+    u128::from(cost) * UNITS_PER_TOKEN / u128::from(weight.max(1))
+}
--- a/crates/eelgrassramp/src/lib.rs
+++ b/crates/eelgrassramp/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert_eq!(Kind::OutcomeUnknown.answer().ran, Ran::Maybe);
 //! ```
 
+pub mod admission;
 pub mod engine;
 mod error;
 mod id;
