--- a/crates/eelgrassramp/src/entry.rs
+++ b/crates/eelgrassramp/src/entry.rs
@@ -17,6 +17,7 @@
 mod serve;
 mod service;
 mod settings;
+mod shared;
 
 pub use self::answer::Answer;
 pub use self::answer::BodyStream;
--- /dev/null
+++ b/crates/eelgrassramp/src/entry/guard.rs
@@ -0,0 +1,158 @@
+//! The home of an idempotency key and the former homes that have to be asked first.
+//!
+//! See `docs/design/retry.md`, "Idempotency keys".
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jiff::Timestamp;
+
+use crate::id::RequestId;
+use crate::key;
+use crate::key::Key;
+use crate::name::EndpointName;
+use crate::name::VersionName;
+use crate::routing::Knowledge;
+use crate::tables::FormerMembers;
+use crate::tables::Pool;
+
+/// Time for which homes remember keys.
+pub(super) const KEY_RETENTION: Duration = Duration::from_mins(10);
+
+/// Greatest difference between the clocks of callers, operators and entries.
+const CLOCK_MARGIN: Duration = Duration::from_secs(2);
+
+/// Where the request of a key may run, and who has to be asked before.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct HomePlan {
+    pub home: EndpointName,
+    pub guards: Vec<Guard>,
+}
+
+/// A sidecar that may remember a key from before the tables or a split changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Guard {
+    pub endpoint: EndpointName,
+    pub sidecar: SocketAddr,
+}
+
+/// Finds the home of `key` among the endpoints of `version`, by the tables alone.
+///
+/// The guards are asked only for requests that must not run twice.
+pub(super) fn plan(
+    pool: &Pool,
+    knowledge: &Knowledge,
+    version: &VersionName,
+    key: &Key,
+    is_guarded: bool,
+    wall: Timestamp,
+) -> Option<HomePlan> {
+    let home = home_of(pool, version, key.id, Leaving::Excluded)?;
+    let mut guards = Vec::new();
+    if is_guarded {
+        add_current(pool, knowledge, version, key.id, &mut guards);
+        for former in pool.former.iter().filter(|f| may_remember(f, key, wall)) {
+            add_former(pool, former, version, key.id, &mut guards);
+        }
+        guards.retain(|g| g.endpoint != *home || is_moved(pool, g));
+        // All entries ask in the same order, so that they do not close each other's homes.
+        guards.sort_by(|a, b| (&a.endpoint, a.sidecar).cmp(&(&b.endpoint, b.sidecar)));
+        guards.dedup();
+    }
+    Some(HomePlan {
+        home: home.clone(),
+        guards,
+    })
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Leaving {
+    Included,
+    Excluded,
+}
+
+fn home_of<'a>(
+    pool: &'a Pool,
+    version: &VersionName,
+    key: RequestId,
+    leaving: Leaving,
+) -> Option<&'a EndpointName> {
+    let members = pool
+        .endpoints
+        .values()
+        .filter(|e| e.version == *version)
+        .filter(|e| leaving == Leaving::Included || !e.leaving)
+        .map(|e| &e.name);
+    key::home(key, members)
+}
+
+/// Adds the homes that the key would have without a leave, or on another side of a split.
+fn add_current(
+    pool: &Pool,
+    knowledge: &Knowledge,
+    version: &VersionName,
+    key: RequestId,
+    guards: &mut Vec<Guard>,
+) {
+    let split = knowledge.split(&pool.name);
+    let others = split.into_iter().flat_map(|s| [&s.old, &s.new]);
+    for v in others.chain([version]) {
+        for leaving in [Leaving::Included, Leaving::Excluded] {
+            let Some(endpoint) = home_of(pool, v, key, leaving).and_then(|e| pool.endpoints.get(e))
+            else {
+                continue;
+            };
+            guards.push(Guard {
+                endpoint: endpoint.name.clone(),
+                sidecar: endpoint.sidecar,
+            });
+        }
+    }
+}
+
+fn add_former(
+    pool: &Pool,
+    former: &FormerMembers,
+    version: &VersionName,
+    key: RequestId,
+    guards: &mut Vec<Guard>,
+) {
+    // The version of an endpoint that is gone is not known, so it counts as this one.
+    let could_serve = |name: &EndpointName| {
+        pool.endpoints
+            .get(name)
+            .is_none_or(|e| e.version == *version)
+    };
+    let members = former.sidecars.keys().filter(|name| could_serve(name));
+    let Some(endpoint) = key::home(key, members) else {
+        return;
+    };
+    if let Some(sidecar) = former.sidecars.get(endpoint) {
+        guards.push(Guard {
+            endpoint: endpoint.clone(),
+            sidecar: *sidecar,
+        });
+    }
+}
+
+/// Tells whether an earlier set of endpoints may have been given the key.
+fn may_remember(former: &FormerMembers, key: &Key, wall: Timestamp) -> bool {
+    let age = wall.duration_since(former.until);
+    let is_recent = Duration::try_from(age).is_ok_and(|age| age <= KEY_RETENTION + CLOCK_MARGIN);
+    // An edit dated in the future, by a clock ahead of this one, is recent.
+    let is_recent = is_recent || age.is_negative();
+    is_recent && !key.time_ms.is_some_and(|made| was_made_after(made, former.until))
+}
+
+fn was_made_after(made_ms: u64, until: Timestamp) -> bool {
+    let margin = i64::try_from(CLOCK_MARGIN.as_millis()).unwrap_or(i64::MAX);
+    let made = i64::try_from(made_ms).unwrap_or(0);
+    made > until.as_millisecond().saturating_add(margin)
+}
+
+/// Tells whether a guard has the name of a present endpoint but another address.
+fn is_moved(pool: &Pool, guard: &Guard) -> bool {
+    pool.endpoints
+        .get(&guard.endpoint)
+        .is_some_and(|e| e.sidecar != guard.sidecar)
+}
--- a/crates/eelgrassramp/src/routing/pool.rs
+++ b/crates/eelgrassramp/src/routing/pool.rs
@@ -8,6 +8,7 @@
 
 use super::prefix::MAX_SLOTS;
 use super::prefix::PrefixIndex;
+use super::router::PollTarget;
 use super::view::View;
 use crate::name::EndpointName;
 use crate::name::EntryName;
@@ -103,6 +104,20 @@
         self.slots.get(&view.endpoint.name).copied()
     }
 
+    /// Returns what asks an endpoint for its report, and takes note that it is asked now.
+    pub fn ask(&mut self, now: Monotonic, i: usize) -> Option<PollTarget> {
+        let cache_seq = self.slot(i).map_or(0, |slot| self.prefix.asked_seq(slot));
+        let view = self.views.get_mut(i)?;
+        view.asked_at = Some(now);
+        view.report_wanted = false;
+        Some(PollTarget {
+            pool: self.pool.name.clone(),
+            endpoint: view.endpoint.name.clone(),
+            sidecar: view.endpoint.sidecar,
+            cache_seq,
+        })
+    }
+
     /// Takes the version that an endpoint says it serves.
     pub fn set_version(&mut self, entry: &EntryName, i: usize, version: &VersionName) {
         let Some(view) = self.views.get_mut(i) else {
--- a/crates/eelgrassramp/src/routing/router.rs
+++ b/crates/eelgrassramp/src/routing/router.rs
@@ -27,6 +27,7 @@
 use crate::name::PoolName;
 use crate::name::RouteName;
 use crate::name::VersionName;
+use crate::num;
 use crate::tables::Endpoint;
 use crate::tables::Pool;
 use crate::tables::Tables;
@@ -304,16 +305,34 @@
             }
         }
         let (_, name, i) = best?;
-        let pool = self.pools.get_mut(&name)?;
-        let cache_seq = pool.slot(i).map_or(0, |slot| pool.prefix.asked_seq(slot));
-        let view = pool.views.get_mut(i)?;
-        view.asked_at = Some(now);
-        Some(PollTarget {
-            pool: name,
-            endpoint: view.endpoint.name.clone(),
-            sidecar: view.endpoint.sidecar,
-            cache_seq,
-        })
+        self.pools.get_mut(&name)?.ask(now, i)
+    }
+
+    /// Returns what asks one endpoint for its report, and takes note that it is asked now.
+    pub fn poll_target(
+        &mut self,
+        now: Monotonic,
+        pool: &PoolName,
+        endpoint: &EndpointName,
+    ) -> Option<PollTarget> {
+        let view = self.pools.get_mut(pool)?;
+        let i = view.position(endpoint)?;
+        view.ask(now, i)
+    }
+
+    /// Makes the endpoints of a pool due for a report.
+    pub fn want_reports(&mut self, pool: &PoolName) {
+        if let Some(pool) = self.pools.get_mut(pool) {
+            pool.views.iter_mut().for_each(View::want_report);
+        }
+    }
+
+    /// Tells whether a sidecar knows of brakes or a split that are not known here.
+    #[must_use]
+    pub fn knows_less(&self, pool: &PoolName, load: &Load) -> bool {
+        let brakes = self.knowledge.brakes_of(pool).count();
+        let split = self.knowledge.split(pool).map(|s| s.seq);
+        num::count(brakes) < u64::from(load.brakes) || split.unwrap_or_default() < load.split
     }
 
     /// Tells whether some endpoint of every pool has reported.
@@ -357,6 +376,37 @@
         pool.views.get(pool.position(endpoint)?)?.load()
     }
 
+    /// Returns a pool's row as the router knows it.
+    #[must_use]
+    pub fn pool(&self, pool: &PoolName) -> Option<&Arc<Pool>> {
+        self.pools.get(pool).map(|view| &view.pool)
+    }
+
+    /// Tells whether [`Self::choose`] would send or refuse a request of `tier` rather than let
+    /// it wait.
+    #[must_use]
+    pub fn would_decide(
+        &self,
+        now: Monotonic,
+        pool: &PoolName,
+        version: &VersionName,
+        tier: Tier,
+    ) -> bool {
+        let Some(view) = self.pools.get(pool) else {
+            return true;
+        };
+        if self.knowledge.is_braked(pool, version) {
+            return true;
+        }
+        let subset = view.subset(version);
+        let views = || subset.iter().filter_map(|i| view.views.get(*i));
+        let mut usable = views().filter(|v| self.is_usable(now, v)).peekable();
+        if usable.peek().is_none() {
+            return nothing_usable(view, subset) != Choice::Unreported;
+        }
+        self.policy.ignores_load() || usable.any(|v| v.has_room(tier))
+    }
+
     fn is_usable(&self, now: Monotonic, view: &View) -> bool {
         view.is_usable(now) && !self.knowledge.is_leaving(&view.endpoint.name)
     }
@@ -544,20 +594,14 @@
     }
 }
 
-/// Returns the row of the pool table that a router decides by.
-impl Router {
-    /// Returns a pool's row as the router knows it.
-    #[must_use]
-    pub fn pool(&self, pool: &PoolName) -> Option<&Arc<Pool>> {
-        self.pools.get(pool).map(|view| &view.pool)
-    }
-}
-
 /// Returns how long ago an endpoint was due to be asked; `None` when it is not due.
 fn overdue(view: &View, now: Monotonic, interval: Duration) -> Option<Duration> {
     let Some(asked) = view.asked_at else {
         return Some(Duration::MAX);
     };
+    if view.report_wanted {
+        return Some(Duration::MAX);
+    }
     if now.since(asked) < interval {
         return None;
     }
--- a/crates/eelgrassramp/src/routing/view.rs
+++ b/crates/eelgrassramp/src/routing/view.rs
@@ -38,6 +38,7 @@
     load: Option<Load>,
     reported_at: Monotonic,
     pub asked_at: Option<Monotonic>,
+    pub report_wanted: bool,
     uncounted: VecDeque<Uncounted>,
 }
 
@@ -51,6 +52,7 @@
             load: None,
             reported_at: Monotonic::ZERO,
             asked_at: None,
+            report_wanted: false,
             uncounted: VecDeque::new(),
         }
     }
@@ -85,6 +87,10 @@
         false
     }
 
+    pub const fn want_report(&mut self) {
+        self.report_wanted = true;
+    }
+
     pub fn sent(&mut self, now: Monotonic, request: RequestId, tokens: u64) {
         self.outstanding += 1;
         self.uncounted.push_back(Uncounted {
