Stand-ins for the object API, the model engine and the order service

Tests and the demo need the three outside systems in-process and over HTTP. Each is a core with fault switches that waits on the shared timer service, so it runs under a paused clock; links between entries and sidecars get faults that are counted, so that a check can show that they fired.

--- /dev/null
+++ b/crates/standins/src/platform.rs
@@ -0,0 +1,17 @@
+//! Stand-in for the platform's object API and its list of VMs.
+
+mod client;
+mod faults;
+mod http;
+mod limiter;
+mod objects;
+mod server;
+mod vms;
+
+pub use self::client::Client;
+pub use self::faults::Faults;
+pub use self::faults::FiredFault;
+pub use self::server::CallCount;
+pub use self::server::Operation;
+pub use self::server::Platform;
+pub use self::server::Settings;
