Entry: classification, admission, routing, proofs and the callers' interface

Requests now travel from a caller's HTTP request through queues and the router to a sidecar link, and ambiguous outcomes are settled by revocation on a new connection. Tests put a fault at every step of a dispatch over scripted sidecars.

--- a/crates/eelgrassramp/src/entry/classify.rs
+++ b/crates/eelgrassramp/src/entry/classify.rs
@@ -143,7 +143,10 @@
         return Err(Error::new(Kind::RequestTooLarge, detail));
     }
     let pool = tables.pool_of(route).ok_or_else(|| {
-        let detail = format!("pool \"{}\" does not exist (route \"{}\")", route.pool, route.name);
+        let detail = format!(
+            "pool \"{}\" does not exist (route \"{}\")",
+            route.pool, route.name
+        );
         Error::new(Kind::PoolUnavailable, detail)
     })?;
     let body = match pool.kind {
@@ -195,7 +198,10 @@
 }
 
 fn no_route(path: &str) -> Error {
-    Error::new(Kind::UnknownRoute, format!("no route matches path {path:?}"))
+    Error::new(
+        Kind::UnknownRoute,
+        format!("no route matches path {path:?}"),
+    )
 }
 
 fn account(req: &CallerRequest) -> Result<AccountName> {
--- a/crates/eelgrassramp/src/entry/flight.rs
+++ b/crates/eelgrassramp/src/entry/flight.rs
@@ -142,10 +142,11 @@
         let step = match event {
             Event::CallFailed(e) => self.on_call_failed(e),
             Event::Frame(frame) => self.on_frame(frame),
-            Event::Broken(e) => self.on_lost(e),
-            Event::Silent => {
-                self.on_lost(Error::new(Kind::StreamBroken, "the connection went silent"))
-            }
+            Event::Broken(e) => self.on_lost(&e),
+            Event::Silent => self.on_lost(&Error::new(
+                Kind::StreamBroken,
+                "the connection went silent",
+            )),
             Event::Revoked(reply) => self.on_revoked(reply),
             Event::RevokeFailed(e) => self.on_revoke_failed(e),
         };
@@ -156,12 +157,18 @@
     fn follow(&mut self, step: &Step) {
         match step {
             Step::Attach(offset) => {
-                assert_eq!(*offset, self.passed, "an attach resumes where the caller stands");
+                assert_eq!(
+                    *offset, self.passed,
+                    "an attach resumes where the caller stands"
+                );
                 self.waiting = Waiting::Attach;
             }
             Step::Revoke => self.waiting = Waiting::Revoke,
             Step::NotRun(_) => {
-                assert!(!self.head_passed, "an answer was passed on for a request that did not run");
+                assert!(
+                    !self.head_passed,
+                    "an answer was passed on for a request that did not run"
+                );
                 self.waiting = Waiting::Over;
             }
             Step::Done(_) | Step::Failed(..) => self.waiting = Waiting::Over,
@@ -172,21 +179,21 @@
     fn on_call_failed(&mut self, err: LinkError) -> Step {
         if self.waiting != Waiting::Dispatch {
             // An attach proves nothing about the dispatch before it, sent or not.
-            return self.on_lost(into_error(err));
+            return self.on_lost(&into_error(err));
         }
         match NotRun::from_link(err) {
             Ok(proof) => Step::NotRun(proof),
-            Err(e) => self.on_lost(e),
+            Err(e) => self.on_lost(&e),
         }
     }
 
     /// Finds out how far the request got, on a new connection.
-    fn on_lost(&mut self, cause: Error) -> Step {
+    fn on_lost(&mut self, cause: &Error) -> Step {
         if self.waiting != Waiting::Dispatch {
             self.failed_resumes += 1;
         }
         if self.failed_resumes >= MAX_FAILED_RESUMES {
-            return self.unknown(&cause);
+            return self.unknown(cause);
         }
         if self.seen == Seen::Nothing {
             Step::Revoke
@@ -209,6 +216,10 @@
                 Kind::WrongIncarnation,
                 "the sidecar that was given the request has restarted",
             )),
+            RevokeReply::Forgotten => self.unknown(&Error::new(
+                Kind::StaleMark,
+                "the sidecar does not remember the request any more",
+            )),
         }
     }
 
@@ -222,7 +233,10 @@
 
     fn on_frame(&mut self, frame: Frame) -> Step {
         match frame {
-            Frame::Heartbeat => Step::Read,
+            Frame::Heartbeat => {
+                self.failed_resumes = 0;
+                Step::Read
+            }
             Frame::Queued(_) => self.advance(Seen::Confirmed),
             Frame::Started => self.advance(Seen::Started),
             Frame::Head { status, headers } => self.on_head(status, headers),
@@ -250,7 +264,7 @@
     fn on_data(&mut self, offset: u64, bytes: &Bytes) -> Step {
         self.seen = Seen::Started;
         if !self.head_passed || offset > self.passed {
-            return self.on_lost(Error::new(Kind::StreamBroken, "a frame is missing"));
+            return self.on_lost(&Error::new(Kind::StreamBroken, "a frame is missing"));
         }
         let known = num::length(self.passed - offset);
         if known >= bytes.len() {
@@ -264,7 +278,7 @@
 
     fn on_final(&mut self, length: u64, usage: Usage) -> Step {
         if !self.head_passed || length > self.passed {
-            return self.on_lost(Error::new(Kind::StreamBroken, "a frame is missing"));
+            return self.on_lost(&Error::new(Kind::StreamBroken, "a frame is missing"));
         }
         if length < self.passed {
             let detail = format!(
--- a/crates/eelgrassramp/src/entry/guard.rs
+++ b/crates/eelgrassramp/src/entry/guard.rs
@@ -8,6 +8,7 @@
 use jiff::Timestamp;
 
 use crate::id::RequestId;
+use crate::id::TableVersion;
 use crate::key;
 use crate::key::Key;
 use crate::name::EndpointName;
@@ -25,6 +26,8 @@
 /// Where the request of a key may run, and who has to be asked before.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct HomePlan {
+    /// The tables that the plan follows.
+    pub tables: TableVersion,
     pub home: EndpointName,
     pub guards: Vec<Guard>,
 }
@@ -40,6 +43,7 @@
 ///
 /// The guards are asked only for requests that must not run twice.
 pub(super) fn plan(
+    tables: TableVersion,
     pool: &Pool,
     knowledge: &Knowledge,
     version: &VersionName,
@@ -60,6 +64,7 @@
         guards.dedup();
     }
     Some(HomePlan {
+        tables,
         home: home.clone(),
         guards,
     })
@@ -141,7 +146,10 @@
     let is_recent = Duration::try_from(age).is_ok_and(|age| age <= KEY_RETENTION + CLOCK_MARGIN);
     // An edit dated in the future, by a clock ahead of this one, is recent.
     let is_recent = is_recent || age.is_negative();
-    is_recent && !key.time_ms.is_some_and(|made| was_made_after(made, former.until))
+    is_recent
+        && !key
+            .time_ms
+            .is_some_and(|made| was_made_after(made, former.until))
 }
 
 fn was_made_after(made_ms: u64, until: Timestamp) -> bool {
--- /dev/null
+++ b/crates/eelgrassramp/src/entry/http.rs
@@ -0,0 +1,163 @@
+//! The callers' interface over HTTP.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::TryStreamExt;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use http_body_util::StreamBody;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
+
+use super::answer::Answer;
+use super::answer::Head;
+use super::classify::CallerRequest;
+use super::classify::header;
+use super::service::Service;
+use crate::error::Error;
+use crate::error::Kind;
+use crate::error::Result;
+use crate::time::Timers;
+use crate::wire::Header;
+
+/// A body that ends with an error when the answer is not whole.
+pub(super) type AnswerBody = http_body_util::combinators::UnsyncBoxBody<Bytes, Error>;
+
+/// Headers of an endpoint's answer that belong to its connection.
+const CONNECTION_HEADERS: [&str; 7] = [
+    "connection",
+    "content-length",
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Answers one HTTP request.
+pub(super) async fn handle(
+    service: Service,
+    timers: Timers,
+    receive_timeout: Duration,
+    req: Request<Incoming>,
+) -> Response<AnswerBody> {
+    match req.uri().path() {
+        "/healthz" => return plain(StatusCode::OK, "ok\n"),
+        "/readyz" if service.is_ready() => return plain(StatusCode::OK, "ready\n"),
+        "/readyz" => return plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        "/histograms" => return histograms(&service),
+        _ => {}
+    }
+    let answer = match receive(&service, &timers, receive_timeout, req).await {
+        Ok(req) => service.call(req).await,
+        Err(e) => service.refuse(&e),
+    };
+    to_response(answer)
+}
+
+async fn receive(
+    service: &Service,
+    timers: &Timers,
+    limit: Duration,
+    req: Request<Incoming>,
+) -> Result<CallerRequest> {
+    let max_body = service.max_body_bytes(req.uri().path())?;
+    let (parts, body) = req.into_parts();
+    if body.size_hint().lower() > crate::num::count(max_body) {
+        return Err(too_large(max_body));
+    }
+    let body = timers
+        .limit(limit, Limited::new(body, max_body).collect())
+        .await
+        .ok_or_else(|| {
+            let detail = format!("the body took longer than {} ms", limit.as_millis());
+            Error::new(Kind::RequestTimeout, detail)
+        })?
+        .map_err(|e| match e.downcast_ref::<LengthLimitError>() {
+            Some(_) => too_large(max_body),
+            None => Error::with_source(Kind::BadRequest, "body", e),
+        })?
+        .to_bytes();
+    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+    let headers = parts.headers.iter().map(|(name, value)| Header {
+        name: name.as_str().to_owned(),
+        value: value.as_bytes().to_vec(),
+    });
+    Ok(CallerRequest {
+        method: parts.method.as_str().to_owned(),
+        path: path.to_owned(),
+        headers: headers.collect(),
+        body,
+    })
+}
+
+fn too_large(max_body: usize) -> Error {
+    Error::new(
+        Kind::RequestTooLarge,
+        format!("body exceeds {max_body} bytes"),
+    )
+}
+
+fn to_response(answer: Answer) -> Response<AnswerBody> {
+    let Answer { head, body } = answer;
+    let body = StreamBody::new(body.map_ok(Frame::data));
+    let mut resp = Response::new(BodyExt::boxed_unsync(body));
+    *resp.status_mut() =
+        StatusCode::from_u16(head.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    set_headers(&head, &mut resp);
+    resp
+}
+
+fn set_headers(head: &Head, resp: &mut Response<AnswerBody>) {
+    let headers = resp.headers_mut();
+    for h in &head.headers {
+        if CONNECTION_HEADERS.contains(&h.name.as_str()) {
+            continue;
+        }
+        let name = HeaderName::from_bytes(h.name.as_bytes());
+        let value = HeaderValue::from_bytes(&h.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    headers.insert(header::RAN, HeaderValue::from_static(head.ran.as_str()));
+    if let Ok(request) = HeaderValue::from_str(&head.request.to_string()) {
+        headers.insert(header::REQUEST, request);
+    }
+    if let Some(seconds) = head.retry_after_s {
+        headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    if let Some(length) = head.length {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
+    }
+}
+
+fn histograms(service: &Service) -> Response<AnswerBody> {
+    let body = serde_json::to_vec(&service.histograms()).unwrap_or_default();
+    let mut resp = plain_bytes(StatusCode::OK, body.into());
+    resp.headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    resp
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Response<AnswerBody> {
+    plain_bytes(status, Bytes::from_static(text.as_bytes()))
+}
+
+fn plain_bytes(status: StatusCode, body: Bytes) -> Response<AnswerBody> {
+    let body = http_body_util::Full::new(body).map_err(|never| match never {});
+    let mut resp = Response::new(body.boxed_unsync());
+    *resp.status_mut() = status;
+    resp
+}
--- a/crates/eelgrassramp/src/entry/run.rs
+++ b/crates/eelgrassramp/src/entry/run.rs
@@ -24,6 +24,7 @@
 use crate::error::Ran;
 use crate::id::Attempt;
 use crate::id::RequestId;
+use crate::id::TableVersion;
 use crate::link::FrameStream;
 use crate::link::LinkError;
 use crate::name::EndpointName;
@@ -93,6 +94,14 @@
     Ended(Ending),
 }
 
+/// The endpoint where the request of an idempotency key may run.
+#[derive(Debug)]
+struct Home {
+    endpoint: EndpointName,
+    /// The tables by which the key was closed at all other endpoints that could know it.
+    closed_elsewhere: Option<TableVersion>,
+}
+
 /// One request on its way.
 pub(super) struct Run {
     pub shared: Arc<Shared>,
@@ -170,7 +179,8 @@
                 Ok(home) => home,
                 Err(ending) => return ending,
             };
-            let granted = self.acquire(request, &tried, home, attempt).await;
+            let endpoint = home.as_ref().map(|h| h.endpoint.clone());
+            let granted = self.acquire(request, &tried, endpoint, attempt).await;
             let candidate = match granted {
                 Ok(candidate) => candidate,
                 Err(e) if is_order_refusal(&e, self.req.route.tier) => {
@@ -181,7 +191,9 @@
                 }
                 Err(e) => return Ending::Failed(e, Ran::No),
             };
-            let flown = self.fly(unsent, request, attempt, &candidate).await;
+            let flown = self
+                .fly(unsent, request, attempt, &candidate, home.as_ref())
+                .await;
             let proof = match flown {
                 Flown::NotRun(proof) => proof,
                 Flown::Ended(ending) => return ending,
@@ -228,7 +240,10 @@
             } else {
                 (Kind::DeadlineExpired, "no endpoint had room in time")
             };
-            Err(Error::new(kind, format!("pool \"{pool}\": {what}, attempt {attempt}")))
+            Err(Error::new(
+                kind,
+                format!("pool \"{pool}\": {what}, attempt {attempt}"),
+            ))
         };
         if let Some(granted) = granted {
             return granted.unwrap_or_else(|_| gave_up());
@@ -312,7 +327,7 @@
     }
 
     /// Finds the home of the idempotency key and closes the key at its former homes.
-    async fn settle_home(&self) -> Result<Option<EndpointName>, Ending> {
+    async fn settle_home(&self) -> Result<Option<Home>, Ending> {
         let Some(key) = self.req.key else {
             return Ok(None);
         };
@@ -333,7 +348,12 @@
             match reply {
                 Some(Ok(KeyReply::Closed)) => {}
                 // The sidecar attaches to the earlier run or refuses; it runs nothing new.
-                Some(Ok(KeyReply::Used(_))) => return Ok(Some(guard.endpoint.clone())),
+                Some(Ok(KeyReply::Used(_))) => {
+                    return Ok(Some(Home {
+                        endpoint: guard.endpoint.clone(),
+                        closed_elsewhere: None,
+                    }));
+                }
                 Some(Ok(KeyReply::Unknown)) => {
                     return Err(unknown_key(guard, "may have forgotten the key"));
                 }
@@ -341,7 +361,10 @@
                 None => return Err(unknown_key(guard, "does not answer")),
             }
         }
-        Ok(Some(plan.home))
+        Ok(Some(Home {
+            endpoint: plan.home,
+            closed_elsewhere: Some(plan.tables),
+        }))
     }
 
     fn home_plan(&self) -> Option<HomePlan> {
@@ -353,7 +376,8 @@
         let version = knowledge.version_for(pool, &self.req.route.name, key.id)?;
         let is_guarded = self.req.route.non_idempotent;
         let wall = jiff::Timestamp::now();
-        guard::plan(pool, knowledge, &version, &key, is_guarded, wall)
+        let tables = core.router.tables();
+        guard::plan(tables, pool, knowledge, &version, &key, is_guarded, wall)
     }
 
     /// Decides whether to dispatch again, learns what the refusal tells, and waits.
@@ -403,10 +427,11 @@
         request: RequestId,
         attempt: Attempt,
         candidate: &Candidate,
+        home: Option<&Home>,
     ) -> Flown {
         let shared = Arc::clone(&self.shared);
         let mut trip = Trip::new(&shared, &self.req, request, candidate);
-        let msg = self.dispatch(request, attempt, candidate);
+        let msg = self.dispatch(request, attempt, candidate, home);
         let deadline = self.deadline;
         let stays = self.req.route.non_idempotent;
         let out = self.out.clone();
@@ -440,7 +465,13 @@
         Flown::Ended(Ending::Failed(err, Ran::Maybe))
     }
 
-    fn dispatch(&self, request: RequestId, attempt: Attempt, candidate: &Candidate) -> Dispatch {
+    fn dispatch(
+        &self,
+        request: RequestId,
+        attempt: Attempt,
+        candidate: &Candidate,
+        home: Option<&Home>,
+    ) -> Dispatch {
         let left = self.deadline.since(self.shared.now());
         Dispatch {
             request,
@@ -455,6 +486,7 @@
             account: self.req.account.clone(),
             key: self.req.key.map(|k| k.id),
             key_time_ms: self.req.key.and_then(|k| k.time_ms),
+            former_homes_closed: home.and_then(|h| h.closed_elsewhere),
             deadline_ms: num::millis(left.saturating_sub(DEADLINE_MARGIN)),
             work: self.work(),
             non_idempotent: self.req.route.non_idempotent,
@@ -499,7 +531,10 @@
         first_byte: &mut Option<Monotonic>,
     ) -> Flown {
         let mut flight = Flight::new();
-        let call = self.shared.link().dispatch(self.candidate.endpoint.sidecar, msg);
+        let call = self
+            .shared
+            .link()
+            .dispatch(self.candidate.endpoint.sidecar, msg);
         let opened = self.shared.timers().limit(SILENCE_LIMIT, call).await;
         let mut stream = None;
         let mut event = self.opened(opened, &mut stream).await;
@@ -554,7 +589,10 @@
         };
         let wait = self.shared.next_wait(backoff);
         self.shared.timers().after(wait).await;
-        let call = self.shared.link().attach(self.candidate.endpoint.sidecar, msg);
+        let call = self
+            .shared
+            .link()
+            .attach(self.candidate.endpoint.sidecar, msg);
         let opened = self.shared.timers().limit(SETTLE_TIMEOUT, call).await;
         self.opened(opened, stream).await
     }
@@ -563,10 +601,14 @@
         let msg = Revoke {
             request: self.request,
             incarnation: self.candidate.incarnation,
+            mark: self.candidate.mark,
         };
         let wait = self.shared.next_wait(backoff);
         self.shared.timers().after(wait).await;
-        let call = self.shared.link().revoke(self.candidate.endpoint.sidecar, msg);
+        let call = self
+            .shared
+            .link()
+            .revoke(self.candidate.endpoint.sidecar, msg);
         match self.shared.timers().limit(SETTLE_TIMEOUT, call).await {
             Some(Ok(reply)) => Event::Revoked(reply),
             Some(Err(e)) => Event::RevokeFailed(e),
@@ -596,7 +638,12 @@
         let Some(frames) = stream else {
             return Event::Broken(Error::new(Kind::Internal, "no stream is open"));
         };
-        match self.shared.timers().limit(SILENCE_LIMIT, frames.next()).await {
+        match self
+            .shared
+            .timers()
+            .limit(SILENCE_LIMIT, frames.next())
+            .await
+        {
             Some(Some(Ok(frame))) => Event::Frame(frame),
             Some(Some(Err(e))) => Event::Broken(e),
             Some(None) => Event::Broken(Error::new(
@@ -639,7 +686,10 @@
             incarnation: self.candidate.incarnation,
         };
         self.shared.count("cancel", &self.req.pool.name);
-        let call = self.shared.link().cancel(self.candidate.endpoint.sidecar, msg);
+        let call = self
+            .shared
+            .link()
+            .cancel(self.candidate.endpoint.sidecar, msg);
         // A sidecar that cannot be reached notices by the request's deadline.
         let _told = self.shared.timers().limit(SETTLE_TIMEOUT, call).await;
     }
--- /dev/null
+++ b/crates/eelgrassramp/src/entry/serve.rs
@@ -0,0 +1,187 @@
+//! The serving process: listener, connections and graceful stop.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::conn::auto;
+use hyper_util::service::TowerToHyperService;
+use slog::info;
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::http;
+use super::service::Service;
+use super::settings::LimitSettings;
+use super::settings::Settings;
+use crate::error::Error;
+use crate::error::Kind;
+use crate::error::Result;
+use crate::link::HttpLink;
+use crate::link::SidecarLink;
+use crate::process::Context;
+use crate::store::HttpObjectApi;
+use crate::store::HttpSettings;
+use crate::store::ObjectApi;
+use crate::tables;
+use crate::tables::Current;
+
+/// Headers of one request.
+const MAX_HEADERS: usize = 64;
+
+/// Requests in progress on one HTTP/2 connection.
+const MAX_STREAMS: u32 = 256;
+
+/// Wait after a connection could not be accepted, as when file descriptors have run out.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+
+/// Serves callers until `cx.stop` is cancelled and all requests have ended.
+///
+/// On a stop the process first tells the balancer that it is not ready, then refuses new
+/// connections, then lets running requests end.
+///
+/// # Errors
+///
+/// Returns [`Kind::InvalidSettings`] when the listening address cannot be bound.
+pub async fn serve(settings: Settings, cx: Context) -> Result<()> {
+    let listen = settings.listen;
+    let listener = TcpListener::bind(listen)
+        .await
+        .map_err(|e| Error::with_source(Kind::InvalidSettings, format!("listen on {listen}"), e))?;
+    let link: Arc<dyn SidecarLink> = Arc::new(HttpLink::new(cx.timers.clone()));
+    let current = Arc::new(Current::default());
+    let api: Arc<dyn ObjectApi> = Arc::new(HttpObjectApi::new(
+        HttpSettings::new(settings.store, settings.name.as_str()),
+        cx.timers.clone(),
+    ));
+    tokio::spawn(tables::follow(
+        cx.clone(),
+        Arc::clone(&api),
+        Arc::clone(&current),
+    ));
+    let drain = settings.drain;
+    let limits = settings.limits;
+    let service = Service::new(settings, link, current, cx.clone());
+    info!(cx.log, "listening"; "address" => %listen);
+
+    let closing = CancellationToken::new();
+    let connections = Connections {
+        service: service.clone(),
+        cx: cx.clone(),
+        limits,
+        closing: closing.clone(),
+        tracker: TaskTracker::new(),
+    };
+    let tracker = connections.tracker.clone();
+    tokio::spawn(connections.accept(listener));
+    cx.stop.cancelled().await;
+    cx.timers
+        .after(Duration::from_millis(drain.unready_ms))
+        .await;
+    closing.cancel();
+    tracker.close();
+    let ended = async {
+        tracker.wait().await;
+        service.drained().await;
+    };
+    let limit = Duration::from_millis(drain.timeout_ms);
+    if cx.timers.limit(limit, ended).await.is_none() {
+        warn!(cx.log, "requests still running at the end of the drain"; "limit_ms" => drain.timeout_ms);
+    }
+    Ok(())
+}
+
+struct Connections {
+    service: Service,
+    cx: Context,
+    limits: LimitSettings,
+    closing: CancellationToken,
+    tracker: TaskTracker,
+}
+
+impl Connections {
+    async fn accept(self, listener: TcpListener) {
+        let this = Arc::new(self);
+        let permits = Arc::new(Semaphore::new(this.limits.connections));
+        loop {
+            let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
+                return;
+            };
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = this.closing.cancelled() => return,
+            };
+            match accepted {
+                Ok((socket, _)) => {
+                    let connection = Arc::clone(&this);
+                    this.tracker.spawn(async move {
+                        connection.serve(socket).await;
+                        drop(permit);
+                    });
+                }
+                Err(e) => {
+                    warn!(this.cx.log, "connection not accepted"; "error" => %e);
+                    this.cx.timers.after(ACCEPT_BACKOFF).await;
+                }
+            }
+        }
+    }
+
+    async fn serve(&self, socket: TcpStream) {
+        // Without the option answers are slower, not wrong.
+        let _set = socket.set_nodelay(true);
+        let service = self.service.clone();
+        let timers = self.cx.timers.clone();
+        let limit = self.limits.receive_timeout();
+        let handler = tower::service_fn(move |req: Request<Incoming>| {
+            let handled = http::handle(service.clone(), timers.clone(), limit, req);
+            async move { Ok::<_, Infallible>(handled.await) }
+        });
+        let builder = self.builder();
+        let connection =
+            builder.serve_connection(TokioIo::new(socket), TowerToHyperService::new(handler));
+        let mut connection = std::pin::pin!(connection);
+        tokio::select! {
+            // A connection that fails is the caller's to notice.
+            _ended = connection.as_mut() => return,
+            () = self.closing.cancelled() => connection.as_mut().graceful_shutdown(),
+        }
+        let _ended = connection.await;
+    }
+
+    fn builder(&self) -> auto::Builder<TokioExecutor> {
+        let mut builder = auto::Builder::new(TokioExecutor::new());
+        builder
+            .http1()
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.limits.receive_timeout())
+            .max_headers(MAX_HEADERS)
+            .max_buf_size(self.limits.header_bytes.max(MIN_HEADER_BYTES));
+        builder
+            .http2()
+            .timer(TokioTimer::new())
+            .max_concurrent_streams(MAX_STREAMS)
+            .max_header_list_size(u32::try_from(self.limits.header_bytes).unwrap_or(u32::MAX))
+            .keep_alive_interval(HTTP2_PING_INTERVAL)
+            .keep_alive_timeout(HTTP2_PING_TIMEOUT);
+        builder
+    }
+}
+
+/// Smallest buffer that the HTTP library takes.
+const MIN_HEADER_BYTES: usize = 8 * 1024;
+
+/// Time between two pings on a caller's HTTP/2 connection.
+const HTTP2_PING_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Time for a caller to answer a ping.
+const HTTP2_PING_TIMEOUT: Duration = Duration::from_secs(5);
--- /dev/null
+++ b/crates/eelgrassramp/src/entry/service.rs
@@ -0,0 +1,304 @@
+//! The entry as a service that can be called in-process.
+
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::fmt;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task;
+use std::task::Poll;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use tokio::sync::mpsc;
+use tokio_util::task::TaskTracker;
+
+use super::answer::Answer;
+use super::answer::BodyStream;
+use super::answer::Head;
+use super::classify;
+use super::classify::CallerRequest;
+use super::classify::Classified;
+use super::flight::Piece;
+use super::histograms::Series;
+use super::poll;
+use super::run::ANSWER_BUFFER;
+use super::run::Message;
+use super::run::Run;
+use super::run::last_event;
+use super::settings::Settings;
+use super::shared::Shared;
+use crate::error::Error;
+use crate::error::Kind;
+use crate::error::Ran;
+use crate::error::Result;
+use crate::id::RequestId;
+use crate::link::SidecarLink;
+use crate::num;
+use crate::process::Context;
+use crate::routing::Knowledge;
+use crate::tables::Current;
+use crate::wire::Header;
+
+/// Bytes of an answer that are held back until it is known to be whole; streams are not held.
+const MAX_HELD_BYTES: usize = 256 * 1024;
+
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
+/// An entry without its listener.
+///
+/// Clones share one entry. Requests keep running when a clone is dropped.
+#[derive(Clone)]
+pub struct Service {
+    shared: Arc<Shared>,
+    tracker: TaskTracker,
+}
+
+impl Service {
+    /// Creates an entry that talks to sidecars through `link` and starts its polling loop.
+    ///
+    /// The loop ends when `cx.stop` is cancelled.
+    #[must_use]
+    pub fn new(
+        settings: Settings,
+        link: Arc<dyn SidecarLink>,
+        tables: Arc<Current>,
+        cx: Context,
+    ) -> Self {
+        let shared = Arc::new(Shared::new(settings, link, tables, cx));
+        shared.sync_tables();
+        tokio::spawn(poll::run(Arc::clone(&shared)));
+        Self {
+            shared,
+            tracker: TaskTracker::new(),
+        }
+    }
+
+    /// Answers one request; an error is an answer too.
+    pub async fn call(&self, req: CallerRequest) -> Answer {
+        let request = self.shared.new_request();
+        let tables = self.shared.tables.get();
+        match classify::classify(&tables, req) {
+            Ok(classified) => self.run(request, classified).await,
+            Err(e) => {
+                let ran = e.kind().answer().ran;
+                Answer::from_error(request, &e, ran)
+            }
+        }
+    }
+
+    /// Creates the answer for a request that ends with an error before it is classified.
+    #[must_use]
+    pub fn refuse(&self, err: &Error) -> Answer {
+        Answer::from_error(self.shared.new_request(), err, err.kind().answer().ran)
+    }
+
+    /// Returns the largest body that a request to `path` may have.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::UnknownRoute`] when no route matches the path.
+    pub fn max_body_bytes(&self, path: &str) -> Result<usize> {
+        classify::max_body_bytes(&self.shared.tables.get(), path)
+    }
+
+    /// Tells whether the entry can serve: it knows tables and an endpoint of every pool.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let has_tables = self.shared.tables_version().0 > 0;
+        let is_stopping = self.shared.cx.stop.is_cancelled();
+        has_tables && !is_stopping && self.shared.lock().router.has_reports()
+    }
+
+    /// Returns the measured times for each tier and client account.
+    #[must_use]
+    pub fn histograms(&self) -> Vec<Series> {
+        self.shared.lock().histograms.to_series()
+    }
+
+    /// Reads or extends what is known besides the tables: brakes, splits, leaving endpoints.
+    ///
+    /// What is added spreads to sidecars with the next reports.
+    pub fn with_knowledge<T>(&self, f: impl FnOnce(&mut Knowledge) -> T) -> T {
+        let now = self.shared.now();
+        let mut core = self.shared.lock();
+        let out = f(core.router.knowledge_mut());
+        core.pump_all(now);
+        out
+    }
+
+    /// Waits until all requests have ended; no new ones may come.
+    pub async fn drained(&self) {
+        self.tracker.close();
+        self.tracker.wait().await;
+    }
+
+    async fn run(&self, request: RequestId, req: Classified) -> Answer {
+        let accepted = self.shared.now();
+        let (tx, rx) = mpsc::channel(ANSWER_BUFFER);
+        let run = Run {
+            shared: Arc::clone(&self.shared),
+            deadline: accepted + req.time_limit,
+            accepted,
+            request,
+            req,
+            out: tx,
+            first_byte: None,
+        };
+        self.tracker.spawn(run.drive());
+        to_answer(request, rx).await
+    }
+}
+
+impl fmt::Debug for Service {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Service")
+            .field("name", &self.shared.settings.name)
+            .finish_non_exhaustive()
+    }
+}
+
+impl tower::Service<CallerRequest> for Service {
+    type Response = Answer;
+    type Error = Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Answer, Infallible>> + Send>>;
+
+    fn poll_ready(&mut self, _cx: &mut task::Context<'_>) -> Poll<Result<(), Infallible>> {
+        // Requests wait in queues that know tiers, never before them.
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, req: CallerRequest) -> Self::Future {
+        let service = self.clone();
+        Box::pin(async move { Ok(Self::call(&service, req).await) })
+    }
+}
+
+/// Waits for the head, and for the whole body where it is short and not a stream.
+async fn to_answer(request: RequestId, mut rx: mpsc::Receiver<Message>) -> Answer {
+    let (status, headers) = match rx.recv().await {
+        Some(Message::Piece(Piece::Head { status, headers })) => (status, headers),
+        Some(Message::Failed(e, ran)) => return Answer::from_error(request, &e, ran),
+        Some(Message::Piece(Piece::Data(_)) | Message::Whole) | None => {
+            let err = Error::new(Kind::Internal, "an answer began without its head");
+            return Answer::from_error(request, &err, Ran::Maybe);
+        }
+    };
+    let mut head = Head {
+        status,
+        headers,
+        ran: Ran::Maybe,
+        request,
+        retry_after_s: None,
+        length: None,
+    };
+    if is_event_stream(&head.headers) {
+        return Answer {
+            head,
+            body: stream(VecDeque::new(), rx, Ending::Event),
+        };
+    }
+    let mut whole = BytesMut::new();
+    loop {
+        match rx.recv().await {
+            Some(Message::Piece(Piece::Data(bytes))) => whole.extend_from_slice(&bytes),
+            Some(Message::Piece(Piece::Head { .. })) => {}
+            Some(Message::Whole) => {
+                head.ran = Ran::Yes;
+                head.length = Some(num::count(whole.len()));
+                let body = futures_util::stream::iter([Ok(whole.freeze())]);
+                return Answer {
+                    head,
+                    body: Box::pin(body),
+                };
+            }
+            Some(Message::Failed(e, ran)) => return Answer::from_error(request, &e, ran),
+            None => return Answer::from_error(request, &lost(), Ran::Maybe),
+        }
+        if whole.len() > MAX_HELD_BYTES {
+            let begun = VecDeque::from([whole.freeze()]);
+            return Answer {
+                head,
+                body: stream(begun, rx, Ending::Break),
+            };
+        }
+    }
+}
+
+/// How a stream that is not whole ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ending {
+    /// With an event that tells the error, then a broken connection.
+    Event,
+    /// With a broken connection.
+    Break,
+}
+
+struct Streaming {
+    begun: VecDeque<Bytes>,
+    rx: mpsc::Receiver<Message>,
+    ending: Ending,
+    failed: Option<Error>,
+    is_over: bool,
+}
+
+fn stream(begun: VecDeque<Bytes>, rx: mpsc::Receiver<Message>, ending: Ending) -> BodyStream {
+    let state = Streaming {
+        begun,
+        rx,
+        ending,
+        failed: None,
+        is_over: false,
+    };
+    Box::pin(futures_util::stream::unfold(state, |mut state| async {
+        let item = state.next().await?;
+        Some((item, state))
+    }))
+}
+
+impl Streaming {
+    async fn next(&mut self) -> Option<Result<Bytes>> {
+        if let Some(bytes) = self.begun.pop_front() {
+            return Some(Ok(bytes));
+        }
+        if let Some(err) = self.failed.take() {
+            self.is_over = true;
+            return Some(Err(err));
+        }
+        if self.is_over {
+            return None;
+        }
+        loop {
+            match self.rx.recv().await {
+                Some(Message::Piece(Piece::Data(bytes))) => return Some(Ok(bytes)),
+                Some(Message::Piece(Piece::Head { .. })) => {}
+                Some(Message::Whole) => {
+                    self.is_over = true;
+                    return None;
+                }
+                Some(Message::Failed(e, ran)) => return Some(self.fail(e, ran)),
+                None => return Some(self.fail(lost(), Ran::Maybe)),
+            }
+        }
+    }
+
+    fn fail(&mut self, err: Error, ran: Ran) -> Result<Bytes> {
+        if self.ending == Ending::Break {
+            self.is_over = true;
+            return Err(err);
+        }
+        let event = last_event(&err, ran);
+        self.failed = Some(err);
+        Ok(event)
+    }
+}
+
+fn is_event_stream(headers: &[Header]) -> bool {
+    headers
+        .iter()
+        .any(|h| h.name == "content-type" && h.value.starts_with(EVENT_STREAM))
+}
+
+fn lost() -> Error {
+    Error::new(Kind::Internal, "the request's task ended without an answer")
+}
--- a/crates/eelgrassramp/src/entry/settings.rs
+++ b/crates/eelgrassramp/src/entry/settings.rs
@@ -37,8 +37,7 @@
 /// assert_eq!(settings.name.as_str(), "entry-1");
 /// # Ok::<(), eelgrassramp::Error>(())
 /// ```
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// The entry's name, unique among entries.
@@ -72,8 +71,7 @@
 }
 
 /// Bounds on what an entry holds in memory.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LimitSettings {
     /// Connections of callers.
@@ -128,8 +126,7 @@
 }
 
 /// How an entry stops.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct DrainSettings {
     /// Time between telling the balancer and refusing new requests, in milliseconds.
@@ -178,7 +175,11 @@
         ];
         for (field, name) in names {
             if !is_valid_name(name) {
-                return Err(invalid(origin, field, &format!("{name:?} is not a valid name")));
+                return Err(invalid(
+                    origin,
+                    field,
+                    &format!("{name:?} is not a valid name"),
+                ));
             }
         }
         let limits = [
--- a/crates/eelgrassramp/src/entry/shared.rs
+++ b/crates/eelgrassramp/src/entry/shared.rs
@@ -34,6 +34,7 @@
 use crate::time::Timers;
 use crate::wire;
 use crate::wire::Load;
+use crate::wire::Report;
 use crate::wire::ReportRequest;
 
 /// Bytes of HTTP around the bodies of one call and its answer.
@@ -187,22 +188,13 @@
         let sent = wire::to_bytes(&msg).map_or(0, |b| b.len());
         let call = self.link.report(target.sidecar, msg);
         let reply = self.timers().limit(REFRESH_TIMEOUT, call).await;
-        let now = self.now();
-        let mut core = self.lock();
-        let received = match reply {
-            Some(Ok(report)) => {
-                core.router.observe_report(now, asked, target, &report);
-                core.pump(now, &target.pool);
-                drop(core);
-                if report.load.tables > self.tables_version() {
-                    self.fetch_tables(target.sidecar).await;
-                }
-                wire::to_bytes(&report).map_or(0, |b| b.len())
-            }
-            Some(Err(_)) | None => {
-                core.router.report_failed(now, target);
-                0
-            }
+        let received = if let Some(Ok(report)) = reply {
+            self.take_report(target, asked, &report).await;
+            wire::to_bytes(&report).map_or(0, |b| b.len())
+        } else {
+            let now = self.now();
+            self.lock().router.report_failed(now, target);
+            0
         };
         let bytes = sent + received + CALL_OVERHEAD_BYTES;
         let count = i64::try_from(bytes).unwrap_or(i64::MAX);
@@ -211,13 +203,27 @@
         bytes
     }
 
+    async fn take_report(&self, target: &PollTarget, asked: Monotonic, report: &Report) {
+        self.learn_report(target, asked, report);
+        if report.load.tables > self.tables_version() {
+            self.fetch_tables(target.sidecar).await;
+        }
+    }
+
+    fn learn_report(&self, target: &PollTarget, asked: Monotonic, report: &Report) {
+        let now = self.now();
+        let mut core = self.lock();
+        core.router.observe_report(now, asked, target, report);
+        core.pump(now, &target.pool);
+    }
+
     fn report_request(&self, target: &PollTarget) -> ReportRequest {
         let core = self.lock();
         let knowledge = core.router.knowledge();
         ReportRequest {
             tables: self.tables_version(),
             brakes: knowledge.brakes_of(&target.pool).cloned().collect(),
-            leaving: self.leaving_in(&core, &target.pool),
+            leaving: leaving_in(&core, &target.pool),
             split: knowledge.split(&target.pool).cloned(),
             outcomes: false,
             cache_seq: target.cache_seq,
@@ -225,15 +231,6 @@
         }
     }
 
-    fn leaving_in(&self, core: &Core, pool: &PoolName) -> Vec<EndpointName> {
-        let Some(pool) = core.router.pool(pool) else {
-            return Vec::new();
-        };
-        let knowledge = core.router.knowledge();
-        let here = |name: &&EndpointName| pool.endpoints.contains_key(*name);
-        knowledge.leaving().filter(here).cloned().collect()
-    }
-
     pub fn count_request(&self, route: &Route, kind: &str) {
         let metric = self.cx.metrics.count_with_tags("requests", 1);
         // A metric that cannot be sent is dropped.
@@ -271,3 +268,13 @@
         num::count(self.lock().gates.len())
     }
 }
+
+/// Returns the endpoints of a pool that are leaving.
+fn leaving_in(core: &Core, pool: &PoolName) -> Vec<EndpointName> {
+    let Some(pool) = core.router.pool(pool) else {
+        return Vec::new();
+    };
+    let here = |name: &&EndpointName| pool.endpoints.contains_key(*name);
+    let leaving = core.router.knowledge().leaving();
+    leaving.filter(here).cloned().collect()
+}
--- a/crates/eelgrassramp/src/link/http.rs
+++ b/crates/eelgrassramp/src/link/http.rs
@@ -59,7 +59,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Time for an engine order, which may load a version from the weight store.
-const ORDER_TIMEOUT: Duration = Duration::from_secs(120);
+const ORDER_TIMEOUT: Duration = Duration::from_mins(2);
 
 /// Time for an answer's last chunk to arrive after its last frame.
 const RECYCLE_TIMEOUT: Duration = Duration::from_millis(200);
@@ -133,7 +133,12 @@
     async fn connect(&self, to: SocketAddr) -> Result<Sender> {
         let failed =
             |e| Error::with_source(Kind::ConnectFailed, format!("connect to sidecar {to}"), e);
-        let timeout = || Error::new(Kind::ConnectFailed, format!("connect to sidecar {to}: timeout"));
+        let timeout = || {
+            Error::new(
+                Kind::ConnectFailed,
+                format!("connect to sidecar {to}: timeout"),
+            )
+        };
         let socket = self
             .timers
             .limit(CONNECT_TIMEOUT, TcpStream::connect(to))
@@ -141,9 +146,12 @@
             .ok_or_else(timeout)?
             .map_err(|e| failed(e.into()))?;
         socket.set_nodelay(true).map_err(|e| failed(e.into()))?;
-        let (tx, connection) = http1::handshake(TokioIo::new(socket))
-            .await
-            .map_err(|e: hyper::Error| failed(Box::<dyn std::error::Error + Send + Sync>::from(e)))?;
+        let (tx, connection) =
+            http1::handshake(TokioIo::new(socket))
+                .await
+                .map_err(|e: hyper::Error| {
+                    failed(Box::<dyn std::error::Error + Send + Sync>::from(e))
+                })?;
         tokio::spawn(async move {
             // A failed connection shows at the call that uses it.
             let _ended = connection.await;
@@ -402,9 +410,7 @@
 
     async fn tables(&self, to: SocketAddr) -> Result<TablesSnapshot, LinkError> {
         let req = request(to, Method::GET, path::TABLES, Bytes::new())?;
-        let body = self
-            .exchange(to, req, Reuse::Allowed, CALL_TIMEOUT)
-            .await?;
+        let body = self.exchange(to, req, Reuse::Allowed, CALL_TIMEOUT).await?;
         wire::from_bytes(&body).map_err(LinkError::Broken)
     }
 
--- a/crates/eelgrassramp/src/proof.rs
+++ b/crates/eelgrassramp/src/proof.rs
@@ -70,7 +70,10 @@
                 source: Source::Revoked,
                 cause: Error::new(Kind::Revoked, "the sidecar revoked the request unstarted"),
             }),
-            RevokeReply::Running | RevokeReply::Finished | RevokeReply::OtherIncarnation(_) => None,
+            RevokeReply::Running
+            | RevokeReply::Finished
+            | RevokeReply::OtherIncarnation(_)
+            | RevokeReply::Forgotten => None,
         }
     }
 
--- a/crates/eelgrassramp/src/routing/health.rs
+++ b/crates/eelgrassramp/src/routing/health.rs
@@ -8,7 +8,7 @@
 const EJECT_AFTER_FAILURES: u32 = 4;
 
 const FIRST_EJECTION: Duration = Duration::from_secs(2);
-const MAX_EJECTION: Duration = Duration::from_secs(60);
+const MAX_EJECTION: Duration = Duration::from_mins(1);
 
 /// Time over which a returned endpoint regains its full share.
 const RETURN_TIME: Duration = Duration::from_secs(10);
@@ -87,7 +87,10 @@
         if self.failures_in_row < EJECT_AFTER_FAILURES || !may_eject {
             return;
         }
-        if self.ejected_until.is_some_and(|t| now.since(t) > MAX_EJECTION) {
+        if self
+            .ejected_until
+            .is_some_and(|t| now.since(t) > MAX_EJECTION)
+        {
             self.ejections = 0;
         }
         let length = FIRST_EJECTION.saturating_mul(1 << self.ejections.min(6));
--- a/crates/eelgrassramp/src/routing/knowledge.rs
+++ b/crates/eelgrassramp/src/routing/knowledge.rs
@@ -108,7 +108,10 @@
         let split = self.splits.get(&pool.name);
         let (first, second) = match split {
             Some(split) if draws_new(split, route, draw) => (&split.new, Some(&split.old)),
-            Some(split) => (&split.old, Some(&split.new).filter(|_| has_share(split, route))),
+            Some(split) => (
+                &split.old,
+                Some(&split.new).filter(|_| has_share(split, route)),
+            ),
             None => (&pool.version, None),
         };
         std::iter::once(first)
--- a/crates/eelgrassramp/src/routing/policy.rs
+++ b/crates/eelgrassramp/src/routing/policy.rs
@@ -4,8 +4,7 @@
 use serde::Serialize;
 
 /// How an endpoint is chosen; all but the first are baselines to compare with.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Policy {
     /// The earliest expected completion among a few candidates.
--- a/crates/eelgrassramp/src/routing/pool.rs
+++ b/crates/eelgrassramp/src/routing/pool.rs
@@ -153,12 +153,15 @@
 
     /// Tells whether one more endpoint may be ejected.
     pub fn may_eject(&self, now: Monotonic) -> bool {
-        let (total, ejected) = self
-            .all_subsets()
-            .filter_map(|i| self.views.get(i))
-            .fold((0usize, 0usize), |(total, ejected), view| {
-                (total + 1, ejected + usize::from(view.health.is_ejected(now)))
-            });
+        let (total, ejected) = self.all_subsets().filter_map(|i| self.views.get(i)).fold(
+            (0usize, 0usize),
+            |(total, ejected), view| {
+                (
+                    total + 1,
+                    ejected + usize::from(view.health.is_ejected(now)),
+                )
+            },
+        );
         (ejected + 1) * 100 <= total * MAX_EJECTED_PERCENT
     }
 
--- a/crates/eelgrassramp/src/routing/router.rs
+++ b/crates/eelgrassramp/src/routing/router.rs
@@ -159,12 +159,11 @@
         self.tables = tables.version;
         self.pools.retain(|name, _| tables.pools.contains_key(name));
         for (name, pool) in &tables.pools {
-            match self.pools.get_mut(name) {
-                Some(view) => view.sync(&self.entry, Arc::clone(pool)),
-                None => {
-                    let view = PoolView::new(&self.entry, Arc::clone(pool));
-                    self.pools.insert(name.clone(), view);
-                }
+            if let Some(view) = self.pools.get_mut(name) {
+                view.sync(&self.entry, Arc::clone(pool));
+            } else {
+                let view = PoolView::new(&self.entry, Arc::clone(pool));
+                self.pools.insert(name.clone(), view);
             }
         }
         self.lengths
@@ -376,6 +375,12 @@
         pool.views.get(pool.position(endpoint)?)?.load()
     }
 
+    /// Returns the version of the tables that the router follows.
+    #[must_use]
+    pub const fn tables(&self) -> TableVersion {
+        self.tables
+    }
+
     /// Returns a pool's row as the router knows it.
     #[must_use]
     pub fn pool(&self, pool: &PoolName) -> Option<&Arc<Pool>> {
@@ -443,10 +448,7 @@
         ask: &Ask<'_>,
         rng: &mut impl Rng,
     ) -> Result<usize, Choice> {
-        let Some(version) = self
-            .knowledge
-            .version_for(&pool.pool, ask.route, ask.draw)
-        else {
+        let Some(version) = self.knowledge.version_for(&pool.pool, ask.route, ask.draw) else {
             return Err(Choice::Refused(Kind::Braked));
         };
         let subset = pool.subset(&version);
--- a/crates/eelgrassramp/src/routing/view.rs
+++ b/crates/eelgrassramp/src/routing/view.rs
@@ -68,7 +68,10 @@
 
     /// Takes a load that counts everything sent until `basis`; tells whether it is another life.
     pub fn observe(&mut self, now: Monotonic, basis: Monotonic, load: Load) -> bool {
-        let same_life = self.load.as_ref().map(|l| l.incarnation == load.incarnation);
+        let same_life = self
+            .load
+            .as_ref()
+            .map(|l| l.incarnation == load.incarnation);
         let is_late = self
             .load
             .as_ref()
--- a/crates/eelgrassramp/src/wire/message.rs
+++ b/crates/eelgrassramp/src/wire/message.rs
@@ -71,6 +71,8 @@
     pub key: Option<RequestId>,
     /// Unix time in milliseconds at which the caller made the key, where the key tells it.
     pub key_time_ms: Option<u64>,
+    /// The tables by which every other possible home of the key has confirmed that it is closed.
+    pub former_homes_closed: Option<TableVersion>,
     /// Time left for the whole answer, in milliseconds.
     pub deadline_ms: u64,
     /// Predicted work in tokens; for plain services, 1.
@@ -228,6 +230,8 @@
     pub request: RequestId,
     /// The sidecar's life that was given the request.
     pub incarnation: Incarnation,
+    /// The clock mark that the dispatch carried.
+    pub mark: ClockMark,
 }
 
 /// What a sidecar knows of a request that was to be revoked.
@@ -241,6 +245,8 @@
     Finished,
     /// The sidecar's life is another one, so it cannot tell.
     OtherIncarnation(Incarnation),
+    /// The dispatch is older than the sidecar remembers, so it cannot tell.
+    Forgotten,
 }
 
 /// Tells that the caller has gone and the answer is not wanted.
@@ -257,6 +263,8 @@
 pub struct ClaimKey {
     /// Identity of the caller's idempotency key within the account.
     pub key: RequestId,
+    /// Unix time in milliseconds at which the caller made the key, where the key tells it.
+    pub key_time_ms: Option<u64>,
 }
 
 /// What a sidecar knows of an idempotency key.
--- /dev/null
+++ b/crates/eelgrassramp/tests/entry/main.rs
@@ -0,0 +1,6 @@
+//! The entry over scripted sidecars, with a fault at every step of a dispatch.
+
+mod faults;
+mod fixture;
+mod keys;
+mod orders;
