--- /dev/null
+++ b/crates/eelgrassramp/src/lease/shell.rs
@@ -0,0 +1,176 @@
+//! Carries out the reads and writes of one lease.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use slog::info;
+use slog::warn;
+
+use super::core::Lease;
+use super::core::LeaseAction;
+use super::core::LeaseEvent;
+use super::core::LeaseTerms;
+use super::object;
+use super::object::LeaseObject;
+use crate::error::Kind;
+use crate::error::Result;
+use crate::id::FencingToken;
+use crate::id::Incarnation;
+use crate::id::ObjectVersion;
+use crate::name::EntryName;
+use crate::name::PoolName;
+use crate::process::Context;
+use crate::store::Object;
+use crate::store::ObjectApi;
+
+const TICK: Duration = Duration::from_millis(200);
+
+/// Keeps trying to hold the lease of one pool until it is released or the process stops.
+pub struct Holder {
+    cx: Context,
+    api: Arc<dyn ObjectApi>,
+    pool: PoolName,
+    lease: Mutex<Lease>,
+}
+
+impl Holder {
+    /// Starts to contend for the lease of `pool` as the process `me` of the entry `entry`.
+    #[must_use]
+    pub fn start(
+        cx: &Context,
+        api: Arc<dyn ObjectApi>,
+        pool: PoolName,
+        me: Incarnation,
+        entry: EntryName,
+        terms: LeaseTerms,
+    ) -> Arc<Self> {
+        let holder = Arc::new(Self {
+            cx: cx.clone(),
+            api,
+            pool,
+            lease: Mutex::new(Lease::new(me, entry, terms)),
+        });
+        tokio::spawn(run(Arc::clone(&holder)));
+        holder
+    }
+
+    /// Returns the token while this process holds the lease; ask before each use.
+    #[must_use]
+    pub fn token(&self) -> Option<FencingToken> {
+        self.lock().token(self.cx.timers.now())
+    }
+
+    /// Notes a token that a sidecar told.
+    pub fn note_fence(&self, fence: FencingToken) {
+        let now = self.cx.timers.now();
+        self.lock().note_fence(now, fence);
+    }
+
+    /// Gives the lease back, so that another entry need not wait for its end.
+    pub fn release(&self) {
+        self.lock().stop_wanting();
+    }
+
+    async fn perform(&self, action: LeaseAction) -> LeaseEvent {
+        let key = object::key(&self.pool);
+        match action {
+            LeaseAction::Read => self.read_event(self.api.get(&key).await),
+            LeaseAction::Write { expected, value } => {
+                let written = self.write(&key, expected, &value).await;
+                self.write_event(written, &value)
+            }
+        }
+    }
+
+    async fn write(
+        &self,
+        key: &str,
+        expected: ObjectVersion,
+        value: &LeaseObject,
+    ) -> Result<ObjectVersion> {
+        self.api.put(key, expected, value.to_bytes()?).await
+    }
+
+    fn read_event(&self, read: Result<Object>) -> LeaseEvent {
+        match read {
+            Ok(object) => LeaseEvent::Read {
+                version: object.version,
+                value: self.value(&object),
+            },
+            Err(e) => {
+                warn!(self.cx.log, "lease not read"; "pool" => %self.pool, "error" => %e);
+                LeaseEvent::ReadFailed
+            }
+        }
+    }
+
+    fn value(&self, object: &Object) -> Option<LeaseObject> {
+        if object.version == ObjectVersion(0) {
+            return None;
+        }
+        match LeaseObject::from_bytes(&object.value) {
+            Ok(value) => Some(value),
+            Err(e) => {
+                warn!(self.cx.log, "lease is not readable"; "pool" => %self.pool, "error" => %e);
+                None
+            }
+        }
+    }
+
+    fn write_event(&self, written: Result<ObjectVersion>, value: &LeaseObject) -> LeaseEvent {
+        match written {
+            Ok(version) => {
+                info!(self.cx.log, "lease written"; "pool" => %self.pool,
+                    "fence" => value.fence.0, "released" => value.released);
+                LeaseEvent::Written { version }
+            }
+            Err(e) => {
+                info!(self.cx.log, "lease not written"; "pool" => %self.pool, "error" => %e);
+                match e.kind() {
+                    Kind::Conflict => LeaseEvent::WriteConflict,
+                    Kind::WriteUnsettled => LeaseEvent::WriteUnsettled,
+                    _ => LeaseEvent::WriteFailed,
+                }
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Lease> {
+        self.lease
+            .lock()
+            .expect("no code panics while it holds the lease")
+    }
+}
+
+impl fmt::Debug for Holder {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Holder")
+            .field("pool", &self.pool)
+            .field("token", &self.token())
+            .finish_non_exhaustive()
+    }
+}
+
+/// Runs until the lease is given back; a process that stops gives it back first.
+async fn run(holder: Arc<Holder>) {
+    let mut ticks = holder.cx.timers.every(TICK);
+    let mut event = LeaseEvent::Tick;
+    loop {
+        if holder.cx.stop.is_cancelled() {
+            holder.release();
+        }
+        let now = holder.cx.timers.now();
+        let action = holder.lock().handle(now, event);
+        event = match action {
+            Some(action) => holder.perform(action).await,
+            None if holder.lock().is_over() => return,
+            None => {
+                ticks.tick().await;
+                LeaseEvent::Tick
+            }
+        };
+    }
+}
--- a/crates/eelgrassramp/src/lib.rs
+++ b/crates/eelgrassramp/src/lib.rs
@@ -19,6 +19,7 @@
 mod error;
 mod id;
 pub mod jsonc;
+pub mod lease;
 pub mod link;
 pub mod log;
 pub mod metrics;
--- a/crates/eelgrassramp/src/tables.rs
+++ b/crates/eelgrassramp/src/tables.rs
@@ -6,6 +6,7 @@
 mod follow;
 mod join;
 mod model;
+mod spread;
 
 pub use self::check::Fault;
 pub use self::check::MAX_BODY_BYTES;
@@ -32,3 +33,7 @@
 pub use self::model::PoolKind;
 pub use self::model::Route;
 pub use self::model::Tables;
+pub use self::spread::Spread;
+pub use self::spread::SpreadAction;
+pub use self::spread::SpreadCore;
+pub use self::spread::SpreadEvent;
--- a/crates/eelgrassramp/src/tables/current.rs
+++ b/crates/eelgrassramp/src/tables/current.rs
@@ -1,6 +1,8 @@
 //! The tables that are in force in this process.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
 use tokio::sync::watch;
@@ -13,6 +15,7 @@
 pub struct Current {
     tables: ArcSwap<Tables>,
     version: watch::Sender<TableVersion>,
+    confirmed: AtomicBool,
 }
 
 impl Current {
@@ -23,6 +26,7 @@
         Self {
             tables: ArcSwap::from_pointee(tables),
             version,
+            confirmed: AtomicBool::new(false),
         }
     }
 
@@ -45,6 +49,17 @@
         })
     }
 
+    /// Notes that the object API was read, so that the tables are as new as it knows.
+    pub fn confirm(&self) {
+        self.confirmed.store(true, Ordering::Release);
+    }
+
+    /// Tells whether the object API was read since this process started.
+    #[must_use]
+    pub fn is_confirmed(&self) -> bool {
+        self.confirmed.load(Ordering::Acquire)
+    }
+
     /// Subscribes to the version in force.
     #[must_use]
     pub fn subscribe(&self) -> watch::Receiver<TableVersion> {
--- /dev/null
+++ b/crates/eelgrassramp/src/tables/spread/shell.rs
@@ -0,0 +1,195 @@
+//! Carries out what the core decides.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use cadence::Counted;
+use rand::rngs::StdRng;
+use slog::info;
+use slog::warn;
+
+use super::core::SpreadAction;
+use super::core::SpreadCore;
+use super::core::SpreadEvent;
+use crate::error::Error;
+use crate::error::Kind;
+use crate::error::Result;
+use crate::id::TableVersion;
+use crate::link::SidecarLink;
+use crate::process::Context;
+use crate::tables::Current;
+use crate::tables::Tables;
+
+const TICK: Duration = Duration::from_millis(100);
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Spreads the tables of one process; see [`SpreadCore`] for the decisions.
+pub struct Spread {
+    cx: Context,
+    current: Arc<Current>,
+    link: Arc<dyn SidecarLink>,
+    state: Mutex<State>,
+}
+
+struct State {
+    core: SpreadCore,
+    rng: StdRng,
+    /// The newest version that this process fetched from another one.
+    fetched: TableVersion,
+}
+
+impl Spread {
+    /// Starts to spread `current` and to ask `contacts` while this process knows no tables.
+    ///
+    /// Contacts are sidecars or entries that the settings name, for a start while the object
+    /// API is away.
+    #[must_use]
+    pub fn start(
+        cx: &Context,
+        current: Arc<Current>,
+        link: Arc<dyn SidecarLink>,
+        contacts: Vec<SocketAddr>,
+    ) -> Arc<Self> {
+        let version = current.get().version;
+        let spread = Arc::new(Self {
+            state: Mutex::new(State {
+                core: SpreadCore::new(version, contacts),
+                rng: cx.rng("spread"),
+                fetched: TableVersion(0),
+            }),
+            cx: cx.clone(),
+            current,
+            link,
+        });
+        let stop = cx.stop.clone();
+        tokio::spawn(stop.run_until_cancelled_owned(run(Arc::clone(&spread))));
+        spread
+    }
+
+    /// Notes the tables that the process at `from` knows, as its last answer told.
+    pub fn observe(self: &Arc<Self>, from: SocketAddr, version: TableVersion) {
+        self.handle(SpreadEvent::Seen { from, version });
+    }
+
+    /// Tells whether the tables in force may be trusted.
+    ///
+    /// That is so once the object API confirmed them, or enough contacts gave theirs.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.current.is_confirmed() || self.lock().core.is_bootstrapped()
+    }
+
+    fn handle(self: &Arc<Self>, event: SpreadEvent) {
+        let actions = {
+            let state = &mut *self.lock();
+            let now = self.cx.timers.now();
+            state.core.handle(now, event, &mut state.rng)
+        };
+        for action in actions {
+            tokio::spawn(Arc::clone(self).perform(action));
+        }
+    }
+
+    async fn perform(self: Arc<Self>, action: SpreadAction) {
+        let event = match action {
+            SpreadAction::Fetch { from } => SpreadEvent::Fetched {
+                from,
+                version: self.fetch(from).await,
+            },
+            SpreadAction::Push { to } => SpreadEvent::Pushed {
+                to,
+                version: self.push(to).await,
+            },
+        };
+        self.handle(event);
+    }
+
+    async fn fetch(self: &Arc<Self>, from: SocketAddr) -> Option<TableVersion> {
+        let _counted = self.cx.metrics.count("tables.fetches", 1);
+        let call = self.link.tables(from);
+        let out = self.cx.timers.limit(TRANSFER_TIMEOUT, call).await;
+        let taken = match out {
+            Some(Ok(snapshot)) if snapshot.version == TableVersion(0) => Ok(TableVersion(0)),
+            Some(Ok(snapshot)) => Tables::from_snapshot(&snapshot).map(|t| self.take(t)),
+            Some(Err(e)) => Err(Error::with_source(Kind::PoolUnavailable, "call", e)),
+            None => Err(Error::new(Kind::PoolUnavailable, "no answer in time")),
+        };
+        self.logged("tables not fetched", from, taken)
+    }
+
+    fn take(self: &Arc<Self>, tables: Tables) -> TableVersion {
+        let version = tables.version;
+        self.note_fetched(version);
+        if self.current.offer(tables) {
+            info!(self.cx.log, "tables in force"; "version" => version.0, "from" => "process");
+        }
+        version
+    }
+
+    fn note_fetched(&self, version: TableVersion) {
+        let mut state = self.lock();
+        state.fetched = state.fetched.max(version);
+    }
+
+    async fn push(&self, to: SocketAddr) -> Option<TableVersion> {
+        let _counted = self.cx.metrics.count("tables.pushes", 1);
+        let pushed = self.try_push(to).await;
+        self.logged("tables not handed over", to, pushed)
+    }
+
+    async fn try_push(&self, to: SocketAddr) -> Result<TableVersion> {
+        let snapshot = self.current.get().to_snapshot()?;
+        let version = snapshot.version;
+        let call = self.link.push_tables(to, snapshot);
+        match self.cx.timers.limit(TRANSFER_TIMEOUT, call).await {
+            Some(Ok(())) => Ok(version),
+            Some(Err(e)) => Err(Error::with_source(Kind::PoolUnavailable, "call", e)),
+            None => Err(Error::new(Kind::PoolUnavailable, "no answer in time")),
+        }
+    }
+
+    fn logged<T>(&self, what: &'static str, peer: SocketAddr, out: Result<T>) -> Option<T> {
+        match out {
+            Ok(value) => Some(value),
+            Err(e) => {
+                warn!(self.cx.log, "{}", what; "peer" => %peer, "error" => %e);
+                None
+            }
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .expect("no code panics while it holds the state")
+    }
+}
+
+impl fmt::Debug for Spread {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Spread")
+            .field("current", &self.current.get().version)
+            .finish_non_exhaustive()
+    }
+}
+
+async fn run(spread: Arc<Spread>) {
+    let mut adopted = spread.current.subscribe();
+    let mut ticks = spread.cx.timers.every(TICK);
+    loop {
+        tokio::select! {
+            changed = adopted.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                let version = *adopted.borrow_and_update();
+                let first_hand = spread.lock().fetched < version;
+                spread.handle(SpreadEvent::Adopted { version, first_hand });
+            }
+            () = ticks.tick() => spread.handle(SpreadEvent::Tick),
+        }
+    }
+}
