--- a/crates/eelgrassramp/tests/lease.rs
+++ b/crates/eelgrassramp/tests/lease.rs
@@ -173,7 +173,7 @@
 
     fn perform(&mut self, i: usize, action: LeaseAction) {
         let event = match action {
-            _ if self.store.outage => self.fail(action),
+            _ if self.store.outage => failure_of(&action),
             LeaseAction::Read if self.chance("stale read", 0.05) => self.store.read(1),
             LeaseAction::Read => self.store.read(0),
             LeaseAction::Write { expected, value } => self.write(expected, value),
@@ -186,13 +186,6 @@
         self.processes[i].pending.push((self.now_ms + delay, event));
     }
 
-    fn fail(&self, action: LeaseAction) -> LeaseEvent {
-        match action {
-            LeaseAction::Read => LeaseEvent::ReadFailed,
-            LeaseAction::Write { .. } => LeaseEvent::WriteFailed,
-        }
-    }
-
     fn write(&mut self, expected: ObjectVersion, value: LeaseObject) -> LeaseEvent {
         if self.chance("late write", 0.05) {
             let at = self.now_ms + self.rng.random_range(100..20_000);
@@ -229,6 +222,13 @@
     }
 }
 
+fn failure_of(action: &LeaseAction) -> LeaseEvent {
+    match action {
+        LeaseAction::Read => LeaseEvent::ReadFailed,
+        LeaseAction::Write { .. } => LeaseEvent::WriteFailed,
+    }
+}
+
 #[googletest::test]
 fn at_most_one_process_acts_under_all_faults() {
     let mut fired = BTreeMap::new();
