--- a/crates/eelgrassramp/src/lib.rs
+++ b/crates/eelgrassramp/src/lib.rs
@@ -22,6 +22,7 @@
 mod id;
 pub mod jsonc;
 pub mod key;
+pub mod lease;
 pub mod link;
 pub mod log;
 pub mod metrics;
