--- a/crates/eelgrassramp/tests/entry/faults.rs
+++ b/crates/eelgrassramp/tests/entry/faults.rs
@@ -68,13 +68,12 @@
         Script::Stream(vec![]),
     ] {
         let fixture = Fixture::start(&[1, 2]).await;
-        {
-            let mut state = fixture.link.state();
+        fixture.set_up(|state| {
             state.dispatch.push_back(script.clone());
             state
                 .revoke
                 .push_back(Reply::Gives(RevokeReply::NeverStarted));
-        }
+        });
 
         let got = fixture.call(request("charges")).await;
 
@@ -92,12 +91,11 @@
 async fn a_running_request_is_attached_to_after_a_revocation() {
     for reply in [RevokeReply::Running, RevokeReply::Finished] {
         let fixture = Fixture::start(&[1, 2]).await;
-        {
-            let mut state = fixture.link.state();
+        fixture.set_up(|state| {
             state.dispatch.push_back(Script::Broken);
             state.revoke.push_back(Reply::Gives(reply));
             state.attach.push_back(resumed_from(0));
-        }
+        });
 
         let got = fixture.call(request("charges")).await;
 
@@ -117,11 +115,10 @@
     ];
     for reply in others {
         let fixture = Fixture::start(&[1, 2]).await;
-        {
-            let mut state = fixture.link.state();
+        fixture.set_up(|state| {
             state.dispatch.push_back(Script::Broken);
             state.revoke.extend([reply; 8]);
-        }
+        });
 
         let got = fixture.call(request("charges")).await;
 
@@ -139,13 +136,12 @@
         for kept in 1..=acts.len() {
             let passed = [0, 0, 0, 0, 5, 9][kept];
             let fixture = Fixture::start(&[1, 2]).await;
-            {
-                let mut state = fixture.link.state();
+            fixture.set_up(|state| {
                 let mut script = acts[..kept].to_vec();
                 script.push(cut.clone());
                 state.dispatch.push_back(Script::Stream(script));
                 state.attach.push_back(resumed_from(passed));
-            }
+            });
 
             let got = fixture.call(request("charges")).await;
 
@@ -161,8 +157,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_silent_connection_is_replaced_within_two_seconds() {
     let fixture = Fixture::start(&[1]).await;
-    {
-        let mut state = fixture.link.state();
+    fixture.set_up(|state| {
         state.dispatch.push_back(Script::Stream(vec![
             queued(),
             started(),
@@ -171,7 +166,7 @@
             Act::Silence,
         ]));
         state.attach.push_back(resumed_from(5));
-    }
+    });
     let began = fixture.cx.timers.now();
 
     let got = fixture.call(request("charges")).await;
@@ -208,8 +203,7 @@
 #[tokio::test(start_paused = true)]
 async fn duplicated_and_missing_frames_do_not_show_in_the_answer() {
     let fixture = Fixture::start(&[1]).await;
-    {
-        let mut state = fixture.link.state();
+    fixture.set_up(|state| {
         state.dispatch.push_back(Script::Stream(vec![
             queued(),
             queued(),
@@ -222,7 +216,7 @@
             data(12, 20),
         ]));
         state.attach.push_back(resumed_from(4));
-    }
+    });
 
     let got = fixture.call(request("charges")).await;
 
@@ -234,11 +228,10 @@
 #[tokio::test(start_paused = true)]
 async fn a_short_answer_is_an_error() {
     let fixture = Fixture::start(&[1]).await;
-    {
-        let mut state = fixture.link.state();
+    fixture.set_up(|state| {
         let cut = vec![queued(), started(), head(), data(0, 5), Act::Break];
         state.dispatch.push_back(Script::Stream(cut));
-    }
+    });
 
     let got = fixture.call(request("charges")).await;
 
@@ -250,13 +243,12 @@
 #[tokio::test(start_paused = true)]
 async fn a_restarted_sidecar_proves_nothing_about_the_life_before_it() {
     let fixture = Fixture::start(&[1, 2]).await;
-    {
-        let mut state = fixture.link.state();
+    fixture.set_up(|state| {
         let cut = vec![queued(), Act::Break];
         state.dispatch.push_back(Script::Stream(cut));
         let refused = vec![failed(Kind::WrongIncarnation, Ran::No)];
         state.attach.push_back(Script::Stream(refused));
-    }
+    });
 
     let got = fixture.call(request("charges")).await;
 
@@ -274,12 +266,11 @@
         Kind::NotServed,
     ] {
         let fixture = Fixture::start(&[1, 2]).await;
-        {
-            let mut state = fixture.link.state();
+        fixture.set_up(|state| {
             state
                 .dispatch
                 .push_back(Script::Stream(vec![failed(kind, Ran::No)]));
-        }
+        });
 
         let got = fixture.call(request("charges")).await;
 
--- a/crates/eelgrassramp/tests/entry/fixture.rs
+++ b/crates/eelgrassramp/tests/entry/fixture.rs
@@ -418,6 +418,11 @@
         Self { link, service, cx }
     }
 
+    /// Changes what the sidecars are told to do.
+    pub fn set_up(&self, f: impl FnOnce(&mut State)) {
+        f(&mut self.link.state());
+    }
+
     pub async fn call(&self, req: CallerRequest) -> Got {
         Got::read(self.service.call(req).await).await
     }
--- a/crates/eelgrassramp/tests/entry/orders.rs
+++ b/crates/eelgrassramp/tests/entry/orders.rs
@@ -43,13 +43,12 @@
 #[tokio::test(start_paused = true)]
 async fn drafts_wait_at_the_entry_while_all_endpoints_are_full_and_orders_do_not() {
     let fixture = Fixture::start(&[1]).await;
-    {
-        let mut state = fixture.link.state();
+    fixture.set_up(|state| {
         state.load.insert(sidecar(1), full());
         state
             .dispatch
             .push_back(Script::Stream(whole_under(full())));
-    }
+    });
     fixture.cx.timers.after(Duration::from_secs(1)).await;
     let draft = with_header(request("drafts"), "eelgrassramp-deadline-ms", "300");
 
@@ -65,13 +64,12 @@
 #[tokio::test(start_paused = true)]
 async fn a_refused_order_waits_until_less_urgent_work_has_given_way() {
     let fixture = Fixture::start(&[1, 2]).await;
-    {
-        let mut state = fixture.link.state();
+    fixture.set_up(|state| {
         for _ in 0..12 {
             let refusal = vec![failed(Kind::Overloaded, Ran::No)];
             state.dispatch.push_back(Script::Stream(refusal));
         }
-    }
+    });
 
     let got = fixture.call(request("charges")).await;
 
@@ -90,15 +88,13 @@
         floor: Tier::Order,
         ..full()
     };
-    {
-        let mut state = fixture.link.state();
+    fixture.set_up(|state| {
         for port in [1, 2] {
             state.load.insert(sidecar(port), raised);
         }
-    }
+    });
     fixture.cx.timers.after(Duration::from_secs(1)).await;
-    {
-        let mut state = fixture.link.state();
+    fixture.set_up(|state| {
         let mut refusal = failed(Kind::Overloaded, Ran::No);
         if let Act::Frame(eelgrassramp::wire::Frame::Failed(f)) = &mut refusal {
             f.load = raised;
@@ -106,7 +102,7 @@
         state
             .dispatch
             .extend(vec![Script::Stream(vec![refusal]); 20]);
-    }
+    });
 
     let got = fixture.call(request("charges")).await;
 
