--- a/crates/eelgrassramp/src/engine.rs
+++ b/crates/eelgrassramp/src/engine.rs
@@ -3,6 +3,9 @@
 //! A sidecar knows its back end only through [`Engine`]: a model engine or a plain service
 //! over HTTP in production, a stand-in in tests.
 
+mod http;
+mod usage;
+
 use std::fmt::Debug;
 use std::pin::Pin;
 
@@ -20,6 +23,8 @@
 use crate::wire::Header;
 use crate::wire::Usage;
 
+pub use self::http::HttpEngine;
+
 /// The events of one answer; an answer without [`EngineEvent::End`] is not whole.
 pub type EngineStream = Pin<Box<dyn Stream<Item = Result<EngineEvent>> + Send>>;
 
--- /dev/null
+++ b/crates/eelgrassramp/src/engine/usage.rs
@@ -0,0 +1,101 @@
+//! Reads token counts and the end mark out of an engine's answer while it passes through.
+
+use bytes::BytesMut;
+use serde::Deserialize;
+
+use crate::wire::Usage;
+
+const MAX_SCANNED_BYTES: usize = 256 * 1024;
+const EVENT_PREFIX: &[u8] = b"data:";
+const END_MARK: &[u8] = b"[DONE]";
+
+/// Watches the body of one answer.
+#[derive(Debug)]
+pub(super) struct UsageScanner {
+    is_event_stream: bool,
+    pending: BytesMut,
+    usage: Usage,
+    has_end_mark: bool,
+}
+
+#[derive(Deserialize)]
+struct Body {
+    usage: Option<BodyUsage>,
+}
+
+#[derive(Deserialize)]
+struct BodyUsage {
+    #[serde(default)]
+    prompt_tokens: u32,
+    #[serde(default)]
+    cached_tokens: u32,
+    #[serde(default)]
+    completion_tokens: u32,
+}
+
+impl From<BodyUsage> for Usage {
+    fn from(body: BodyUsage) -> Self {
+        Self {
+            prefill_tokens: body.prompt_tokens.saturating_sub(body.cached_tokens),
+            cached_tokens: body.cached_tokens,
+            output_tokens: body.completion_tokens,
+        }
+    }
+}
+
+impl UsageScanner {
+    pub(super) fn new(is_event_stream: bool) -> Self {
+        Self {
+            is_event_stream,
+            pending: BytesMut::new(),
+            usage: Usage::default(),
+            has_end_mark: false,
+        }
+    }
+
+    /// Takes a piece of the body in.
+    pub(super) fn scan(&mut self, bytes: &[u8]) {
+        if self.pending.len() + bytes.len() > MAX_SCANNED_BYTES {
+            self.pending.clear();
+        }
+        self.pending.extend_from_slice(bytes);
+        if self.is_event_stream {
+            self.scan_lines();
+        }
+    }
+
+    /// Returns the token counts once the body has ended.
+    pub(super) fn finish(&mut self) -> Usage {
+        if !self.is_event_stream {
+            let body = self.pending.split();
+            self.read_usage(&body);
+        }
+        self.usage
+    }
+
+    /// Tells whether the answer's own end mark was seen, where it has one.
+    pub(super) const fn is_whole(&self) -> bool {
+        !self.is_event_stream || self.has_end_mark
+    }
+
+    fn scan_lines(&mut self) {
+        while let Some(end) = self.pending.iter().position(|b| *b == b'\n') {
+            let line = self.pending.split_to(end + 1);
+            let Some(data) = line.strip_prefix(EVENT_PREFIX) else {
+                continue;
+            };
+            let data = data.trim_ascii();
+            if data == END_MARK {
+                self.has_end_mark = true;
+            } else {
+                self.read_usage(data);
+            }
+        }
+    }
+
+    fn read_usage(&mut self, json: &[u8]) {
+        if let Ok(Body { usage: Some(usage) }) = serde_json::from_slice(json) {
+            self.usage = usage.into();
+        }
+    }
+}
--- /dev/null
+++ b/crates/eelgrassramp/src/sidecar/settings.rs
@@ -0,0 +1,228 @@
+//! The settings of one sidecar process.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::admission;
+use crate::error::Error;
+use crate::error::Kind;
+use crate::error::Result;
+use crate::jsonc;
+use crate::ledger;
+use crate::log::Verbosity;
+use crate::name::DomainName;
+use crate::name::EndpointName;
+use crate::name::HardwareName;
+use crate::name::PoolName;
+use crate::name::VersionName;
+use crate::name::is_valid_name;
+
+/// What kind of endpoint stands behind a sidecar.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EndpointKind {
+    /// A model engine that batches, streams, resumes and cancels.
+    Model,
+    /// A plain service that answers one call at a time.
+    Service,
+}
+
+/// The settings of one sidecar process, as its settings file gives them.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Where the sidecar listens for entries.
+    pub listen: SocketAddr,
+    /// The endpoint's name in the pool table.
+    pub endpoint: EndpointName,
+    /// The pool that the endpoint belongs to.
+    pub pool: PoolName,
+    /// The version that the endpoint serves at the start, until it tells otherwise.
+    pub version: VersionName,
+    /// What the endpoint is.
+    pub kind: EndpointKind,
+    /// Where the endpoint listens.
+    pub engine: SocketAddr,
+    /// The failure domain of the VM.
+    pub domain: DomainName,
+    /// The hardware generation of the VM.
+    pub hardware: HardwareName,
+    /// Requests that the endpoint works on at a time.
+    pub slots: u32,
+    /// Output tokens, or calls of a plain service, that this hardware completes in a second
+    /// for one request; slowness is measured against it.
+    #[serde(default = "default::reference_tokens_per_second")]
+    pub reference_tokens_per_second: f32,
+    /// The platform's object API; without it, tables come from entries alone.
+    #[serde(default)]
+    pub store: Option<SocketAddr>,
+    /// Where metrics are sent; without it, none are.
+    #[serde(default)]
+    pub statsd: Option<SocketAddr>,
+    /// How much is logged.
+    #[serde(default)]
+    pub log: Verbosity,
+    /// Longest time that a stop waits for requests in progress, in milliseconds.
+    #[serde(default = "default::drain_timeout_ms")]
+    pub drain_timeout_ms: u64,
+    /// Time for which an ended request is remembered, in milliseconds.
+    #[serde(default = "default::retention_ms")]
+    pub retention_ms: u64,
+    /// Time for which an idempotency key is remembered, in milliseconds.
+    #[serde(default = "default::key_retention_ms")]
+    pub key_retention_ms: u64,
+    /// Greatest difference between the clocks of callers and of this VM, in milliseconds.
+    #[serde(default = "default::clock_margin_ms")]
+    pub clock_margin_ms: u64,
+    /// Requests that the ledger remembers at most.
+    #[serde(default = "default::ledger_entries")]
+    pub ledger_entries: usize,
+    /// Bytes of finished answers that are kept for entries that ask again.
+    #[serde(default = "default::replay_bytes")]
+    pub replay_bytes: usize,
+    /// Requests that wait at most.
+    #[serde(default = "default::queue_items")]
+    pub queue_items: usize,
+    /// Predicted tokens of requests that wait at most.
+    #[serde(default = "default::queue_tokens")]
+    pub queue_tokens: u64,
+}
+
+mod default {
+    pub(super) const fn reference_tokens_per_second() -> f32 {
+        50.0
+    }
+
+    pub(super) const fn drain_timeout_ms() -> u64 {
+        60_000
+    }
+
+    pub(super) const fn retention_ms() -> u64 {
+        120_000
+    }
+
+    pub(super) const fn key_retention_ms() -> u64 {
+        600_000
+    }
+
+    pub(super) const fn clock_margin_ms() -> u64 {
+        2_000
+    }
+
+    pub(super) const fn ledger_entries() -> usize {
+        100_000
+    }
+
+    pub(super) const fn replay_bytes() -> usize {
+        16 * 1024 * 1024
+    }
+
+    pub(super) const fn queue_items() -> usize {
+        256
+    }
+
+    pub(super) const fn queue_tokens() -> u64 {
+        65_536
+    }
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::InvalidSettings`] that names the file, the place and the cause.
+    pub fn from_file(path: &Path) -> Result<Self> {
+        let settings: Self = jsonc::from_file(path, Kind::InvalidSettings)?;
+        settings.check(&path.display().to_string())?;
+        Ok(settings)
+    }
+
+    /// Reads and checks settings from text; `origin` names the text in errors.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::InvalidSettings`] that names the place and the cause.
+    pub fn from_text(text: &str, origin: &str) -> Result<Self> {
+        let settings: Self = jsonc::from_str(text, origin, Kind::InvalidSettings)?;
+        settings.check(origin)?;
+        Ok(settings)
+    }
+
+    fn check(&self, origin: &str) -> Result<()> {
+        let names = [
+            ("endpoint", self.endpoint.as_str()),
+            ("pool", self.pool.as_str()),
+            ("version", self.version.as_str()),
+            ("domain", self.domain.as_str()),
+            ("hardware", self.hardware.as_str()),
+        ];
+        for (field, name) in names {
+            if !is_valid_name(name) {
+                return Err(invalid(origin, field, &format!("{name:?} is not a valid name")));
+            }
+        }
+        let counts = [
+            ("slots", u64::from(self.slots)),
+            ("retention_ms", self.retention_ms),
+            ("ledger_entries", crate::num::count(self.ledger_entries)),
+            ("queue_items", crate::num::count(self.queue_items)),
+            ("queue_tokens", self.queue_tokens),
+        ];
+        for (field, count) in counts {
+            if count == 0 {
+                return Err(invalid(origin, field, "must be above 0"));
+            }
+        }
+        if self.key_retention_ms < self.retention_ms {
+            let cause = "must be at least as long as field \"retention_ms\"";
+            return Err(invalid(origin, "key_retention_ms", cause));
+        }
+        let speed = self.reference_tokens_per_second;
+        if !speed.is_finite() || speed <= 0.0 {
+            let cause = "must be a number above 0";
+            return Err(invalid(origin, "reference_tokens_per_second", cause));
+        }
+        Ok(())
+    }
+
+    /// Returns the bounds of the ledger.
+    #[must_use]
+    pub const fn ledger_limits(&self) -> ledger::Limits {
+        ledger::Limits {
+            retention: Duration::from_millis(self.retention_ms),
+            key_retention: Duration::from_millis(self.key_retention_ms),
+            clock_margin: Duration::from_millis(self.clock_margin_ms),
+            entries: self.ledger_entries,
+        }
+    }
+
+    /// Returns the bounds of the queue.
+    #[must_use]
+    pub const fn queue_limits(&self) -> admission::Limits {
+        admission::Limits {
+            items: self.queue_items,
+            cost: self.queue_tokens,
+            per_account_items: self.queue_items,
+        }
+    }
+
+    /// Returns the longest time that a stop waits for requests in progress.
+    #[must_use]
+    pub const fn drain_timeout(&self) -> Duration {
+        Duration::from_millis(self.drain_timeout_ms)
+    }
+}
+
+fn invalid(origin: &str, field: &str, cause: &str) -> Error {
+    Error::new(
+        Kind::InvalidSettings,
+        format!("{origin}: field \"{field}\": {cause}"),
+    )
+}
--- a/crates/eelgrassramp/src/wire/message.rs
+++ b/crates/eelgrassramp/src/wire/message.rs
@@ -71,6 +71,8 @@
     pub key: Option<RequestId>,
     /// Unix time in milliseconds at which the caller made the key, where the key tells it.
     pub key_time_ms: Option<u64>,
+    /// The tables by which every other possible home of the key has confirmed that it is closed.
+    pub former_homes_closed: Option<TableVersion>,
     /// Time left for the whole answer, in milliseconds.
     pub deadline_ms: u64,
     /// Predicted work in tokens; for plain services, 1.
@@ -257,6 +259,8 @@
 pub struct ClaimKey {
     /// Identity of the caller's idempotency key within the account.
     pub key: RequestId,
+    /// Unix time in milliseconds at which the caller made the key, where the key tells it.
+    pub key_time_ms: Option<u64>,
 }
 
 /// What a sidecar knows of an idempotency key.
