Sidecar: ledger, scheduler, engine client and service over HTTP

Cause: entries need the single place beside each endpoint where it is decided what runs. Dispatch says whether former homes of its key were closed; Revoke carries the dispatch's clock mark, because after the retention a ledger can no longer tell that a request never started.

--- a/crates/eelgrassramp/src/admission/queue.rs
+++ b/crates/eelgrassramp/src/admission/queue.rs
@@ -159,6 +159,12 @@
         self.tiers[..=tier.rank()].iter().map(Shares::cost).sum()
     }
 
+    /// Returns how many requests of `tier` wait.
+    #[must_use]
+    pub const fn len_of(&self, tier: Tier) -> usize {
+        self.tiers[tier.rank()].len()
+    }
+
     /// Returns when the next deadline passes, so that the owner can call [`Self::expire`].
     #[must_use]
     pub fn next_deadline(&self) -> Option<Monotonic> {
--- a/crates/eelgrassramp/src/engine/usage.rs
+++ b/crates/eelgrassramp/src/engine/usage.rs
@@ -25,20 +25,20 @@
 
 #[derive(Deserialize)]
 struct BodyUsage {
-    #[serde(default)]
-    prompt_tokens: u32,
-    #[serde(default)]
-    cached_tokens: u32,
-    #[serde(default)]
-    completion_tokens: u32,
+    #[serde(default, rename = "prompt_tokens")]
+    prompt: u32,
+    #[serde(default, rename = "cached_tokens")]
+    cached: u32,
+    #[serde(default, rename = "completion_tokens")]
+    completion: u32,
 }
 
 impl From<BodyUsage> for Usage {
     fn from(body: BodyUsage) -> Self {
         Self {
-            prefill_tokens: body.prompt_tokens.saturating_sub(body.cached_tokens),
-            cached_tokens: body.cached_tokens,
-            output_tokens: body.completion_tokens,
+            prefill_tokens: body.prompt.saturating_sub(body.cached),
+            cached_tokens: body.cached,
+            output_tokens: body.completion,
         }
     }
 }
--- a/crates/eelgrassramp/src/ledger/book.rs
+++ b/crates/eelgrassramp/src/ledger/book.rs
@@ -60,11 +60,16 @@
     Running,
     Ended(Ending),
     Revoked,
+    /// The request shares the run of another request with the same key.
+    Attached(RequestId),
 }
 
 #[derive(Debug, Clone, Copy)]
 enum KeyState {
-    Used { request: RequestId, fingerprint: u64 },
+    Used {
+        request: RequestId,
+        fingerprint: u64,
+    },
     Closed,
 }
 
@@ -164,8 +169,10 @@
         let entry = self.entries.get_mut(&request).expect("request is known");
         match (entry.state, ending) {
             (State::Waiting, Ending::NotRun(_))
-            | (State::Running, Ending::NotRun(Kind::ConnectFailed))
-            | (State::Running, Ending::MayHaveRun(_) | Ending::Whole) => {}
+            | (
+                State::Running,
+                Ending::NotRun(Kind::ConnectFailed) | Ending::MayHaveRun(_) | Ending::Whole,
+            ) => {}
             (state, ending) => panic!("request {request} is {state:?} and cannot end {ending:?}"),
         }
         entry.state = State::Ended(ending);
@@ -181,14 +188,18 @@
                 was_waiting: false,
             };
         }
-        let state = self.entries.get(&msg.request).map(|entry| entry.state);
+        let state = self.state_of(msg.request);
         let reply = match state {
             Some(State::Running) => RevokeReply::Running,
-            Some(State::Ended(Ending::Whole | Ending::MayHaveRun(_))) => RevokeReply::Finished,
+            Some(State::Attached(_) | State::Ended(Ending::Whole | Ending::MayHaveRun(_))) => {
+                RevokeReply::Finished
+            }
+            Some(State::Waiting) if self.is_attached(msg.request) => RevokeReply::Running,
             Some(State::Waiting | State::Revoked | State::Ended(Ending::NotRun(_))) => {
                 self.set_revoked(now, msg.request);
                 RevokeReply::NeverStarted
             }
+            None if self.is_too_old(now, msg.mark) => RevokeReply::Forgotten,
             None => {
                 self.insert_revoked(now, msg.request);
                 RevokeReply::NeverStarted
@@ -196,10 +207,15 @@
         };
         Revoked {
             reply,
-            was_waiting: state == Some(State::Waiting),
+            was_waiting: state == Some(State::Waiting) && reply == RevokeReply::NeverStarted,
         }
     }
 
+    fn is_attached(&self, request: RequestId) -> bool {
+        let entry = self.entries.get(&request);
+        entry.is_some_and(|e| matches!(e.state, State::Attached(_)))
+    }
+
     /// Tells whether a key was used here, and makes sure that it is not used from now on.
     pub fn claim_key(&mut self, now: Monotonic, msg: &ClaimKey) -> KeyReply {
         self.expire(now);
@@ -268,6 +284,9 @@
         self.check_mark(now, claim)?;
         let key = claim.key.as_ref();
         if let Some(verdict) = key.and_then(|k| self.known_key(k)) {
+            if let Ok(Verdict::Attach(first)) = verdict {
+                self.insert_attached(now, claim, first)?;
+            }
             return verdict;
         }
         outside?;
@@ -337,12 +356,26 @@
         Err(Refusal::not_run(Kind::StaleMark, detail))
     }
 
+    /// Returns the state that counts for a request: its own, or that of the run it shares.
+    ///
+    /// When the shared run is forgotten already, the request stays attached to it.
+    fn state_of(&self, request: RequestId) -> Option<State> {
+        let own = self.entries.get(&request)?.state;
+        let State::Attached(first) = own else {
+            return Some(own);
+        };
+        self.entries
+            .get(&first)
+            .map_or(Some(own), |e| Some(e.state))
+    }
+
     /// Returns the verdict on a known request, or `None` when it may be looked at as new.
     fn known(&self, claim: &Claim) -> Option<Result<Verdict, Refusal>> {
         let entry = self.entries.get(&claim.request)?;
-        let kind = match entry.state {
+        let kind = match self.state_of(claim.request)? {
             State::Waiting
             | State::Running
+            | State::Attached(_)
             | State::Ended(Ending::Whole | Ending::MayHaveRun(_)) => {
                 return Some(Ok(Verdict::Attach(claim.request)));
             }
@@ -443,6 +476,29 @@
         }
     }
 
+    /// Records that a request shares the run of `first`, so that it is never said not to
+    /// have run because of its own identity.
+    fn insert_attached(
+        &mut self,
+        now: Monotonic,
+        claim: &Claim,
+        first: RequestId,
+    ) -> Result<(), Refusal> {
+        if self.is_full() && !self.remembers(claim.request) {
+            let detail = format!("the key was used by request {first}");
+            return Err(Refusal::may_have_run(Kind::KeyInProgress, detail));
+        }
+        let entry = Entry {
+            attempt: claim.attempt,
+            key: None,
+            state: State::Attached(first),
+            ended_at: now,
+        };
+        self.entries.insert(claim.request, entry);
+        self.ended.push_back(Ended::new(now, claim.request));
+        Ok(())
+    }
+
     fn insert_revoked(&mut self, now: Monotonic, request: RequestId) {
         if self.is_full() {
             self.refuse_marks_through(Self::mark(now));
@@ -486,7 +542,7 @@
 
 impl State {
     const fn is_ended(self) -> bool {
-        matches!(self, Self::Ended(_) | Self::Revoked)
+        matches!(self, Self::Ended(_) | Self::Revoked | Self::Attached(_))
     }
 
     const fn is_not_run(self) -> bool {
--- a/crates/eelgrassramp/src/ledger/limits.rs
+++ b/crates/eelgrassramp/src/ledger/limits.rs
@@ -18,7 +18,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            retention: Duration::from_secs(120),
+            retention: Duration::from_mins(2),
             key_retention: Duration::from_mins(10),
             clock_margin: Duration::from_secs(2),
             entries: 100_000,
--- a/crates/eelgrassramp/src/sidecar.rs
+++ b/crates/eelgrassramp/src/sidecar.rs
@@ -6,7 +6,9 @@
 mod answer;
 mod brakes;
 mod cache;
+mod check;
 mod frames;
+mod order;
 mod outcomes;
 mod replay;
 mod run;
@@ -16,9 +18,11 @@
 mod settings;
 mod speed;
 mod state;
+mod times;
+mod upkeep;
 
-pub use self::cache::CacheIndex;
 pub use self::brakes::Brakes;
+pub use self::cache::CacheIndex;
 pub use self::scheduler::Action;
 pub use self::scheduler::Capacity;
 pub use self::scheduler::Scheduler;
@@ -28,3 +32,4 @@
 pub use self::settings::EndpointKind;
 pub use self::settings::Settings;
 pub use self::speed::Speed;
+pub use self::times::ServiceTimes;
--- a/crates/eelgrassramp/src/sidecar/answer.rs
+++ b/crates/eelgrassramp/src/sidecar/answer.rs
@@ -18,7 +18,6 @@
     pub(super) end: Option<End>,
     pieces: Vec<Piece>,
     length: u64,
-    is_dropped: bool,
 }
 
 /// Status and headers.
@@ -32,7 +31,11 @@
 #[derive(Debug, Clone)]
 pub(super) enum End {
     Whole(Usage),
-    Failed { kind: Kind, ran: Ran, detail: String },
+    Failed {
+        kind: Kind,
+        ran: Ran,
+        detail: String,
+    },
 }
 
 #[derive(Debug)]
@@ -46,11 +49,6 @@
         self.length
     }
 
-    /// Tells whether the body was given up to save memory.
-    pub(super) const fn is_dropped(&self) -> bool {
-        self.is_dropped
-    }
-
     /// Returns the rest of the piece that holds the byte at `offset`.
     pub(super) fn piece_at(&self, offset: u64) -> Option<Bytes> {
         let i = self.pieces.partition_point(|p| p.offset <= offset);
@@ -71,7 +69,6 @@
 
     fn drop_body(&mut self) {
         self.pieces = Vec::new();
-        self.is_dropped = true;
     }
 }
 
@@ -130,10 +127,6 @@
         self.tx.borrow().head.is_some()
     }
 
-    pub(super) fn has_ended(&self) -> bool {
-        self.tx.borrow().end.is_some()
-    }
-
     pub(super) fn readers(&self) -> usize {
         self.tx.receiver_count()
     }
--- a/crates/eelgrassramp/src/sidecar/frames.rs
+++ b/crates/eelgrassramp/src/sidecar/frames.rs
@@ -24,10 +24,17 @@
     shared: Arc<Shared>,
     rx: watch::Receiver<Progress>,
     offset: u64,
-    said_queued: bool,
-    said_started: bool,
-    said_head: bool,
-    is_done: bool,
+    told: Told,
+}
+
+/// How far a reader was told of the answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Told {
+    Nothing,
+    Queued,
+    Started,
+    Head,
+    End,
 }
 
 /// Returns the frames of `answer` from the body byte at `offset` on.
@@ -36,10 +43,7 @@
         shared,
         rx: answer.subscribe(),
         offset,
-        said_queued: false,
-        said_started: false,
-        said_head: false,
-        is_done: false,
+        told: Told::Nothing,
     };
     Box::pin(stream::unfold(reader, |mut reader| async {
         let frame = reader.next().await?;
@@ -54,11 +58,11 @@
 
 impl Reader {
     async fn next(&mut self) -> Option<Frame> {
-        if self.is_done {
+        if self.told == Told::End {
             return None;
         }
-        if !self.said_queued {
-            self.said_queued = true;
+        if self.told == Told::Nothing {
+            self.told = Told::Queued;
             return Some(Frame::Queued(self.shared.load()));
         }
         loop {
@@ -77,14 +81,14 @@
     /// Returns the next frame that needs no waiting.
     fn ready(&mut self) -> Option<Frame> {
         let progress = self.rx.borrow_and_update();
-        if progress.has_started && !self.said_started {
-            self.said_started = true;
+        if progress.has_started && self.told < Told::Started {
+            self.told = Told::Started;
             return Some(Frame::Started);
         }
         if let Some(head) = &progress.head
-            && !self.said_head
+            && self.told < Told::Head
         {
-            self.said_head = true;
+            self.told = Told::Head;
             return Some(Frame::Head {
                 status: head.status,
                 headers: head.headers.clone(),
@@ -99,7 +103,7 @@
         let length = progress.length();
         let lacks_body = self.offset != length;
         drop(progress);
-        self.is_done = true;
+        self.told = Told::End;
         Some(self.last_frame(end, length, lacks_body))
     }
 
@@ -128,7 +132,7 @@
 
     /// Returns the failure of an answer whose run has vanished without an end.
     fn abandoned(&mut self) -> Frame {
-        self.is_done = true;
+        self.told = Told::End;
         Frame::Failed(Failure {
             kind: Kind::StreamBroken,
             ran: Ran::Maybe,
--- /dev/null
+++ b/crates/eelgrassramp/src/sidecar/order.rs
@@ -0,0 +1,132 @@
+//! Orders to the engine, fenced.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+use slog::info;
+use slog::warn;
+
+use crate::error::Error;
+use crate::error::Kind;
+use crate::error::Result;
+use crate::id::FencingToken;
+use crate::name::VersionName;
+use crate::wire::EngineAction;
+use crate::wire::EngineOrder;
+use crate::wire::OrderReply;
+
+use super::state::Shared;
+
+/// Carries out an order unless a later holder of the lease has been heard of.
+///
+/// Orders run one at a time, so that an engine that ignores fencing tokens never works on the
+/// orders of two holders at once, and the version is read back after each.
+pub(super) async fn carry_out(shared: &Arc<Shared>, msg: EngineOrder) -> OrderReply {
+    let _turn = shared.orders.lock().await;
+    let outcome = match check(shared, &msg).await {
+        Ok(()) => perform(shared, &msg).await,
+        Err(e) => Err(e),
+    };
+    let state = shared.lock();
+    let refused = outcome.err().map(|e| {
+        warn!(shared.cx.log, "order not carried out";
+            "kind" => %e.kind(), "error" => %e, "fence" => msg.fence.0);
+        e.kind()
+    });
+    OrderReply {
+        done: refused.is_none(),
+        fence: state.fence.highest,
+        version: state.version.clone(),
+        refused,
+    }
+}
+
+/// Checks the order's token and remembers it.
+async fn check(shared: &Arc<Shared>, msg: &EngineOrder) -> Result<()> {
+    if msg.pool != shared.settings.pool {
+        let detail = format!("order for pool {:?}", msg.pool);
+        return Err(Error::new(Kind::NotServed, detail));
+    }
+    learn_floor(shared, msg).await?;
+    let mut state = shared.lock();
+    if msg.fence < state.fence.highest {
+        let detail = format!(
+            "order carries token {}, the highest seen is {}",
+            msg.fence, state.fence.highest
+        );
+        return Err(Error::new(Kind::FencedOff, detail));
+    }
+    state.fence.highest = msg.fence;
+    Ok(())
+}
+
+/// Learns the lowest acceptable token before the first order of this life.
+///
+/// The former life may have seen a higher token than the order at hand carries. The lease in
+/// the store tells; without a store, a holder has to announce itself before it orders.
+async fn learn_floor(shared: &Arc<Shared>, msg: &EngineOrder) -> Result<()> {
+    if shared.lock().fence.is_known {
+        return Ok(());
+    }
+    let floor = match lease_token(shared).await? {
+        Some(token) => token,
+        None if msg.action == EngineAction::Fence => msg.fence,
+        None => {
+            let detail = "the first order after a start has to announce the fencing token";
+            return Err(Error::new(Kind::FencedOff, detail));
+        }
+    };
+    let mut state = shared.lock();
+    state.fence.highest = state.fence.highest.max(floor);
+    state.fence.is_known = true;
+    Ok(())
+}
+
+async fn perform(shared: &Arc<Shared>, msg: &EngineOrder) -> Result<()> {
+    if msg.action == EngineAction::Fence {
+        return Ok(());
+    }
+    let ordered = shared.engine.order(msg.action.clone(), msg.fence).await;
+    let serving = read_back(shared, ordered.as_ref().ok()).await?;
+    info!(shared.cx.log, "engine was given an order";
+        "fence" => msg.fence.0, "version" => %serving, "done" => ordered.is_ok());
+    shared.lock().version = serving.clone();
+    ordered?;
+    match &msg.action {
+        EngineAction::Load(wanted) if *wanted != serving => {
+            let detail = format!("engine serves {serving:?} after an order to load {wanted:?}");
+            Err(Error::new(Kind::EndpointFailed, detail))
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Asks the engine which version it serves now; its report of load lags, so an order's own
+/// answer goes before it.
+async fn read_back(shared: &Arc<Shared>, answered: Option<&VersionName>) -> Result<VersionName> {
+    match answered {
+        Some(version) => Ok(version.clone()),
+        None => Ok(shared.engine.load().await?.version),
+    }
+}
+
+/// The part of a stored lease that counts here.
+#[derive(Deserialize)]
+struct LeaseToken {
+    fence: FencingToken,
+}
+
+/// Reads the token of the pool's lease; `None` without a store or before the first lease.
+async fn lease_token(shared: &Shared) -> Result<Option<FencingToken>> {
+    let Some(store) = &shared.store else {
+        return Ok(None);
+    };
+    let key = format!("leases/{}", shared.settings.pool);
+    let object = store.get(&key).await?;
+    if object.version.0 == 0 {
+        return Ok(None);
+    }
+    let lease: LeaseToken = serde_json::from_slice(&object.value)
+        .map_err(|e| Error::with_source(Kind::Malformed, format!("object {key:?}"), e))?;
+    Ok(Some(lease.fence))
+}
--- a/crates/eelgrassramp/src/sidecar/run.rs
+++ b/crates/eelgrassramp/src/sidecar/run.rs
@@ -26,6 +26,7 @@
 use super::speed::cost_used;
 use super::state::Meta;
 use super::state::Shared;
+use super::state::State;
 use super::state::Stop;
 
 /// Times that a broken stream is resumed without any progress in between.
@@ -37,11 +38,14 @@
 const MAX_ANSWER_BYTES: u64 = 64 * 1024 * 1024;
 
 /// Time past its deadline after which a non-idempotent request no longer holds a slot.
-const ABANDON_AFTER: Duration = Duration::from_secs(60);
+const ABANDON_AFTER: Duration = Duration::from_mins(1);
 
 /// Time without a reader after which an idempotent request is stopped.
 const ORPHAN_AFTER: Duration = Duration::from_secs(5);
 
+/// Slowness from which on a missed deadline counts as a failure of the endpoint.
+const TIMEOUT_SLOWNESS: f64 = 2.0;
+
 /// Response header by which an endpoint tells how often it ran a request.
 const EXECUTIONS_HEADER: &str = "x-executions";
 
@@ -132,17 +136,21 @@
     async fn stopped(&self) -> Kind {
         let timers = &self.shared.cx.timers;
         if self.meta.non_idempotent {
-            timers.until(self.meta.deadline + ABANDON_AFTER).await;
+            timers.after(self.time_left() + ABANDON_AFTER).await;
             return Kind::DeadlineExceeded;
         }
         tokio::select! {
             () = self.stop.preempted.cancelled() => Kind::Preempted,
             () = self.stop.cancelled.cancelled() => Kind::CallerGone,
-            () = timers.until(self.meta.deadline) => Kind::DeadlineExceeded,
+            () = timers.after(self.time_left()) => Kind::DeadlineExceeded,
             () = self.orphaned() => Kind::CallerGone,
         }
     }
 
+    fn time_left(&self) -> Duration {
+        self.meta.deadline.since(self.shared.now())
+    }
+
     /// Waits until nobody has read the answer for some time, as after an entry's death.
     async fn orphaned(&self) {
         let mut ticks = self.shared.cx.timers.every(ORPHAN_AFTER / 2);
@@ -210,27 +218,19 @@
         }
     }
 
-    fn count(
-        &self,
-        state: &mut super::state::State,
-        time: Duration,
-        end: &End,
-        ending: Ending,
-    ) {
+    fn count(&self, state: &mut State, time: Duration, end: &End, ending: Ending) {
         let outcome = match end {
             End::Whole(usage) => self.judge(state, time, *usage),
             End::Failed { kind, .. } => {
                 self.shared.count("sidecar.failed", kind.as_str());
-                let is_own_fault = matches!(
-                    kind,
-                    Kind::Preempted | Kind::CallerGone | Kind::DeadlineExceeded
-                );
-                (!is_own_fault).then_some(Outcome::Failed)
+                self.is_endpoint_fault(state, time, *kind)
+                    .then_some(Outcome::Failed)
             }
         };
         if ending == Ending::Whole {
             state.record_time(self.meta.tier, time);
-            self.shared.count("sidecar.answered", self.meta.tier.as_str());
+            self.shared
+                .count("sidecar.answered", self.meta.tier.as_str());
         }
         if let Some(outcome) = outcome {
             let Meta {
@@ -243,13 +243,20 @@
         }
     }
 
+    /// Tells whether a failure speaks against the endpoint rather than against the load.
+    fn is_endpoint_fault(&self, state: &State, time: Duration, kind: Kind) -> bool {
+        match kind {
+            Kind::Preempted | Kind::CallerGone => false,
+            Kind::DeadlineExceeded => {
+                let speed = state.scheduler.speed();
+                speed.slowness(self.meta.cost, time) > TIMEOUT_SLOWNESS
+            }
+            _ => true,
+        }
+    }
+
     /// Judges a whole answer by its status, its executions and its time.
-    fn judge(
-        &self,
-        state: &mut super::state::State,
-        time: Duration,
-        usage: Usage,
-    ) -> Option<Outcome> {
+    fn judge(&self, state: &mut State, time: Duration, usage: Usage) -> Option<Outcome> {
         let progress = self.answer.subscribe();
         let progress = progress.borrow();
         let head = progress.head.as_ref()?;
--- /dev/null
+++ b/crates/eelgrassramp/src/sidecar/serve.rs
@@ -0,0 +1,162 @@
+//! The sidecar over HTTP.
+
+mod answer;
+mod handler;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::service::service_fn;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::GracefulShutdown;
+use slog::debug;
+use slog::info;
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::engine::Engine;
+use crate::engine::HttpEngine;
+use crate::error::Error;
+use crate::error::Kind;
+use crate::error::Result;
+use crate::process::Context;
+use crate::store::HttpObjectApi;
+use crate::store::HttpSettings;
+use crate::store::ObjectApi;
+
+use super::service::Service;
+use super::settings::Settings;
+
+const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+const MAX_HEADER_BYTES: usize = 32 * 1024;
+const MAX_HEADERS: usize = 64;
+const MAX_HTTP2_STREAMS: u32 = 1024;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time that connections get to end after the last request has.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Runs a sidecar beside the endpoint that `settings` names, until `cx.stop` is cancelled and
+/// all requests in progress have ended.
+///
+/// # Errors
+///
+/// Returns [`Kind::InvalidSettings`] when the listening address cannot be used.
+pub async fn serve(settings: Settings, cx: Context) -> Result<()> {
+    let engine = Arc::new(HttpEngine::new(settings.engine, cx.timers.clone()));
+    let store = settings.store.map(|address| -> Arc<dyn ObjectApi> {
+        let caller = format!("sidecar {}", settings.endpoint);
+        let http = HttpSettings::new(address, caller);
+        Arc::new(HttpObjectApi::new(http, cx.timers.clone()))
+    });
+    let listener = TcpListener::bind(settings.listen).await.map_err(|e| {
+        let detail = format!("listen at {}", settings.listen);
+        Error::with_source(Kind::InvalidSettings, detail, e)
+    })?;
+    serve_with(settings, engine, store, listener, cx).await
+}
+
+/// Runs a sidecar beside any engine, on a socket that listens already.
+///
+/// # Errors
+///
+/// Returns [`Kind::Internal`] when requests in progress did not end within the drain timeout.
+pub async fn serve_with(
+    settings: Settings,
+    engine: Arc<dyn Engine>,
+    store: Option<Arc<dyn ObjectApi>>,
+    listener: TcpListener,
+    cx: Context,
+) -> Result<()> {
+    let drain_timeout = settings.drain_timeout();
+    info!(cx.log, "sidecar serves";
+        "endpoint" => %settings.endpoint, "pool" => %settings.pool, "listen" => %settings.listen);
+    let service = Service::start(settings, engine, store, cx.clone());
+    let connections = GracefulShutdown::new();
+    tokio::select! {
+        () = accept(&listener, &service, &connections, &cx) => {}
+        () = drained(&service, &cx) => {}
+    }
+    // New connections were accepted until here, since entries attach on new ones.
+    let outcome = if service.in_progress() == 0 {
+        info!(cx.log, "sidecar drained");
+        Ok(())
+    } else {
+        let detail = format!(
+            "{} requests were in progress after {} ms",
+            service.in_progress(),
+            drain_timeout.as_millis()
+        );
+        Err(Error::new(Kind::Internal, detail))
+    };
+    cx.timers.limit(CLOSE_TIMEOUT, connections.shutdown()).await;
+    outcome
+}
+
+/// Waits for the stop and then, for at most the drain timeout, for requests in progress.
+async fn drained(service: &Service, cx: &Context) {
+    cx.stop.cancelled().await;
+    info!(cx.log, "sidecar drains"; "in_progress" => service.in_progress());
+    let limit = service.shared.settings.drain_timeout();
+    if cx.timers.limit(limit, service.idle()).await.is_none() {
+        warn!(cx.log, "drain timeout passed"; "in_progress" => service.in_progress());
+    }
+}
+
+async fn accept(
+    listener: &TcpListener,
+    service: &Service,
+    connections: &GracefulShutdown,
+    cx: &Context,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((tcp, _peer)) => spawn_connection(tcp, service, connections, cx),
+            Err(e) => {
+                warn!(cx.log, "connection not accepted"; "error" => %e);
+                cx.timers.after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn spawn_connection(
+    tcp: TcpStream,
+    service: &Service,
+    connections: &GracefulShutdown,
+    cx: &Context,
+) {
+    // Frames are small and must not wait for acknowledgements.
+    let _latency_only = tcp.set_nodelay(true);
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .max_buf_size(MAX_HEADER_BYTES)
+        .max_headers(MAX_HEADERS);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(MAX_HTTP2_STREAMS)
+        .max_header_list_size(u32::try_from(MAX_HEADER_BYTES).unwrap_or(u32::MAX));
+    let service = service.clone();
+    let handler = service_fn(move |req| {
+        let service = service.clone();
+        async move { Ok::<_, std::convert::Infallible>(handler::handle(&service, req).await) }
+    });
+    let connection = builder
+        .serve_connection(TokioIo::new(tcp), handler)
+        .into_owned();
+    let connection = connections.watch(connection);
+    let log = cx.log.clone();
+    tokio::spawn(async move {
+        if let Err(e) = connection.await {
+            debug!(log, "connection ended"; "error" => %e);
+        }
+    });
+}
--- /dev/null
+++ b/crates/eelgrassramp/src/sidecar/serve/handler.rs
@@ -0,0 +1,96 @@
+//! From an HTTP request to a call of the service.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
+
+use crate::error::Error;
+use crate::error::Kind;
+use crate::error::Ran;
+use crate::error::Result;
+use crate::wire;
+use crate::wire::path;
+
+use super::super::service::Service;
+use super::answer;
+use super::answer::Body;
+
+/// Time within which the whole body of a call has to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Answers one HTTP request.
+pub(super) async fn handle(service: &Service, req: Request<Incoming>) -> Response<Body> {
+    match route(service, req).await {
+        Ok(resp) => resp,
+        Err(e) => {
+            service.shared.count("sidecar.refused", e.kind().as_str());
+            let detail = e.detail().to_owned();
+            answer::failure(&service.shared.failure(e.kind(), Ran::No, detail))
+        }
+    }
+}
+
+async fn route(service: &Service, req: Request<Incoming>) -> Result<Response<Body>> {
+    let path = req.uri().path().to_owned();
+    if req.method() == Method::GET {
+        return get(service, &path).await;
+    }
+    let body = read_body(service, req).await?;
+    Ok(match path.as_str() {
+        path::DISPATCH => answer::frames(service.dispatch(decode(&body)?).await),
+        path::ATTACH => answer::frames(service.attach(decode(&body)?).await),
+        path::REVOKE => answer::message(&service.revoke(decode(&body)?).await),
+        path::CANCEL => {
+            service.cancel(decode(&body)?).await;
+            answer::message(&())
+        }
+        path::REPORT => answer::message(&service.report(decode(&body)?).await),
+        path::TABLES => {
+            service.push_tables(decode(&body)?).await?;
+            answer::message(&())
+        }
+        path::KEY => answer::message(&service.claim_key(decode(&body)?).await),
+        path::ORDER => answer::message(&service.order(decode(&body)?).await),
+        _ => answer::not_found(),
+    })
+}
+
+async fn get(service: &Service, path: &str) -> Result<Response<Body>> {
+    Ok(match path {
+        path::TABLES => answer::message(&service.tables().await?),
+        "/healthz" => answer::health(true, "ok\n"),
+        "/readyz" if service.is_draining() => answer::health(false, "draining\n"),
+        "/readyz" => answer::health(true, "ready\n"),
+        "/histograms" => answer::json(&service.service_times()),
+        _ => answer::not_found(),
+    })
+}
+
+fn decode<T: DeserializeOwned>(body: &Bytes) -> Result<T> {
+    wire::from_bytes(body)
+}
+
+async fn read_body(service: &Service, req: Request<Incoming>) -> Result<Bytes> {
+    let body = Limited::new(req.into_body(), wire::MAX_MESSAGE_BYTES);
+    let timers = &service.shared.cx.timers;
+    let body = timers
+        .limit(BODY_TIMEOUT, body.collect())
+        .await
+        .ok_or_else(|| Error::new(Kind::RequestTimeout, "body of the call came too slowly"))?;
+    body.map(http_body_util::Collected::to_bytes).map_err(|e| {
+        let kind = if e.is::<LengthLimitError>() {
+            Kind::RequestTooLarge
+        } else {
+            Kind::Malformed
+        };
+        Error::with_source(kind, "body of the call", e)
+    })
+}
--- /dev/null
+++ b/crates/eelgrassramp/src/sidecar/service.rs
@@ -0,0 +1,439 @@
+//! The sidecar as a service that can be called in-process.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use slog::info;
+
+use crate::admission::Ticket;
+use crate::engine::Engine;
+use crate::error::Kind;
+use crate::error::Ran;
+use crate::error::Result;
+use crate::id::Incarnation;
+use crate::id::RequestId;
+use crate::ledger::Claim;
+use crate::ledger::KeyClaim;
+use crate::ledger::Ledger;
+use crate::ledger::Refusal;
+use crate::ledger::Verdict;
+use crate::link::FrameStream;
+use crate::process::Context;
+use crate::store::ObjectApi;
+use crate::tables::Current;
+use crate::tables::Tables;
+use crate::wire::Attach;
+use crate::wire::Cancel;
+use crate::wire::ClaimKey;
+use crate::wire::Dispatch;
+use crate::wire::EngineOrder;
+use crate::wire::KeyReply;
+use crate::wire::OrderReply;
+use crate::wire::Report;
+use crate::wire::ReportRequest;
+use crate::wire::Revoke;
+use crate::wire::RevokeReply;
+use crate::wire::TablesSnapshot;
+
+use super::answer::Answer;
+use super::brakes::Brakes;
+use super::cache::CacheIndex;
+use super::frames;
+use super::outcomes::OutcomeTable;
+use super::replay::Replay;
+use super::run::Run;
+use super::scheduler::Action;
+use super::scheduler::Capacity;
+use super::scheduler::Scheduler;
+use super::settings::Settings;
+use super::speed::cost_of;
+use super::state::Fence;
+use super::state::Job;
+use super::state::Meta;
+use super::state::Shared;
+use super::state::State;
+use super::state::Stop;
+use super::upkeep;
+
+/// One life of a sidecar; clones share it.
+///
+/// Its methods mirror [`SidecarLink`](crate::link::SidecarLink), so an entry in the same
+/// process can call it without a connection.
+#[derive(Debug, Clone)]
+pub struct Service {
+    pub(super) shared: Arc<Shared>,
+}
+
+impl Service {
+    /// Starts a life beside `engine`, which lasts until `cx.stop` is cancelled and all
+    /// requests in progress have ended.
+    ///
+    /// Without `store`, tables and fencing tokens come from entries alone.
+    #[must_use]
+    pub fn start(
+        settings: Settings,
+        engine: Arc<dyn Engine>,
+        store: Option<Arc<dyn ObjectApi>>,
+        cx: Context,
+    ) -> Self {
+        let state = new_state(&settings, &cx);
+        let shared = Arc::new(Shared {
+            engine,
+            store,
+            tables: Arc::new(Current::default()),
+            started_at: cx.timers.now(),
+            state: Mutex::new(state),
+            orders: tokio::sync::Mutex::new(()),
+            settings,
+            cx,
+        });
+        upkeep::spawn(&shared);
+        Self { shared }
+    }
+
+    /// Returns the life that this is.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.shared.lock().ledger.incarnation()
+    }
+
+    /// Returns the tables that are in force here.
+    #[must_use]
+    pub fn current_tables(&self) -> Arc<Current> {
+        Arc::clone(&self.shared.tables)
+    }
+
+    /// Runs a request, or tells why not; known requests get the answer of their first run.
+    #[expect(clippy::unused_async, reason = "mirrors the link, whose calls wait")]
+    pub async fn dispatch(&self, msg: Dispatch) -> FrameStream {
+        let shared = &self.shared;
+        let now = shared.now();
+        let claim = claim_of(&msg);
+        let mut state = shared.lock();
+        state.noted_tables = state.noted_tables.max(msg.tables);
+        let outside = shared.check_dispatch(&state, &msg);
+        match state.ledger.accept(now, &claim, outside) {
+            Verdict::Refuse(refusal) => {
+                drop(state);
+                shared.count("sidecar.refused", refusal.kind.as_str());
+                let Refusal { kind, ran, detail } = refusal;
+                frames::failed(shared.failure(kind, ran, detail))
+            }
+            Verdict::Attach(first) => {
+                let answer = share_answer(&mut state, msg.request, first);
+                drop(state);
+                self.frames_of(answer, 0)
+            }
+            Verdict::Run => {
+                let answer = self.admit(&mut state, msg);
+                drop(state);
+                frames::frames(Arc::clone(shared), &answer, 0)
+            }
+        }
+    }
+
+    /// Returns the frames of a known request from an offset on.
+    #[expect(clippy::unused_async, reason = "mirrors the link, whose calls wait")]
+    pub async fn attach(&self, msg: Attach) -> FrameStream {
+        let answer = {
+            let state = self.shared.lock();
+            let is_ours = msg.incarnation == state.ledger.incarnation();
+            let job = state.jobs.get(&msg.request).filter(|_| is_ours);
+            job.map(|j| j.answer.clone())
+        };
+        self.frames_of(answer, msg.offset)
+    }
+
+    /// Makes sure that a request never starts, or tells how far it got.
+    #[expect(clippy::unused_async, reason = "mirrors the link, whose calls wait")]
+    pub async fn revoke(&self, msg: Revoke) -> RevokeReply {
+        let now = self.shared.now();
+        let mut state = self.shared.lock();
+        let revoked = state.ledger.revoke(now, &msg);
+        if revoked.was_waiting {
+            state.scheduler.remove(msg.request);
+            let detail = format!("request {} was revoked", msg.request);
+            state.tell_not_run(msg.request, Kind::Revoked, detail);
+        }
+        revoked.reply
+    }
+
+    /// Stops a request whose caller has gone; a non-idempotent one only if it waits.
+    pub async fn cancel(&self, msg: Cancel) {
+        let revoke = Revoke {
+            request: msg.request,
+            incarnation: msg.incarnation,
+            mark: Ledger::mark(self.shared.now()),
+        };
+        if self.revoke(revoke).await != RevokeReply::Running {
+            return;
+        }
+        let state = self.shared.lock();
+        if let Some(job) = state.jobs.get(&msg.request)
+            && !job.meta.non_idempotent
+            && job.meta.request == msg.request
+        {
+            job.stop.cancelled.cancel();
+        }
+    }
+
+    /// Tells whether an idempotency key was used here, and closes it if not.
+    #[expect(clippy::unused_async, reason = "mirrors the link, whose calls wait")]
+    pub async fn claim_key(&self, msg: ClaimKey) -> KeyReply {
+        let now = self.shared.now();
+        self.shared.lock().ledger.claim_key(now, &msg)
+    }
+
+    /// Takes in what an entry knows and tells it what is known here.
+    #[expect(clippy::unused_async, reason = "mirrors the link, whose calls wait")]
+    pub async fn report(&self, msg: ReportRequest) -> Report {
+        let shared = &self.shared;
+        let mut state = shared.lock();
+        shared.take_knowledge(&mut state, &msg);
+        Report {
+            endpoint: shared.settings.endpoint.clone(),
+            pool: shared.settings.pool.clone(),
+            version: state.version.clone(),
+            fence: state.fence.highest,
+            load: shared.load_of(&state),
+            brakes: state.brakes.to_vec(),
+            split: state.split.clone(),
+            outcomes: if msg.outcomes {
+                state.outcomes.to_vec()
+            } else {
+                Vec::new()
+            },
+            cache: state.cache.after(msg.cache_seq),
+        }
+    }
+
+    /// Returns the newest tables that are known here.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::Internal`] when the tables cannot be encoded.
+    #[expect(clippy::unused_async, reason = "mirrors the link, whose calls wait")]
+    pub async fn tables(&self) -> Result<TablesSnapshot> {
+        self.shared.tables.get().to_snapshot()
+    }
+
+    /// Puts tables in force here if they are newer than those known.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::InvalidTables`] when the document is invalid.
+    #[expect(clippy::unused_async, reason = "mirrors the link, whose calls wait")]
+    pub async fn push_tables(&self, msg: TablesSnapshot) -> Result<()> {
+        if msg.version <= self.shared.tables.get().version {
+            return Ok(());
+        }
+        let tables = Tables::from_snapshot(&msg)?;
+        if self.shared.tables.offer(tables) {
+            info!(self.shared.cx.log, "tables in force"; "version" => msg.version.0);
+        }
+        Ok(())
+    }
+
+    /// Passes an order on to the engine unless its fencing token is outdated.
+    pub async fn order(&self, msg: EngineOrder) -> OrderReply {
+        super::order::carry_out(&self.shared, msg).await
+    }
+
+    /// Tells whether new work is refused because the endpoint is leaving.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.shared.is_draining(&self.shared.lock())
+    }
+
+    /// Returns the number of requests that wait or run.
+    #[must_use]
+    pub fn in_progress(&self) -> usize {
+        let state = self.shared.lock();
+        state.scheduler.queued() + state.scheduler.running()
+    }
+
+    /// Waits until no request waits or runs.
+    pub async fn idle(&self) {
+        while self.in_progress() > 0 {
+            self.shared.cx.timers.after(upkeep::TICK).await;
+        }
+    }
+
+    fn frames_of(&self, answer: Option<Answer>, offset: u64) -> FrameStream {
+        if let Some(answer) = answer {
+            return frames::frames(Arc::clone(&self.shared), &answer, offset);
+        }
+        let detail = "the request is not known here".to_owned();
+        frames::failed(
+            self.shared
+                .failure(Kind::OutcomeUnknown, Ran::Maybe, detail),
+        )
+    }
+
+    /// Puts an accepted request before the scheduler.
+    fn admit(&self, state: &mut State, msg: Dispatch) -> Answer {
+        let shared = &self.shared;
+        let now = shared.now();
+        let ticket = shared.ticket_of(now, &msg);
+        let prefill_tokens = msg.work.prefill_tokens;
+        let job = Job {
+            answer: Answer::new(),
+            stop: Stop::default(),
+            meta: Meta {
+                request: msg.request,
+                route: msg.route,
+                tier: msg.tier,
+                version: msg.version,
+                deadline: ticket.deadline,
+                cost: ticket.cost,
+                non_idempotent: msg.non_idempotent,
+            },
+            call: Some(msg.call),
+        };
+        let answer = job.answer.clone();
+        state.jobs.insert(msg.request, job);
+        let actions = state.scheduler.offer(now, ticket, prefill_tokens);
+        shared.perform(state, actions);
+        answer
+    }
+}
+
+impl Shared {
+    /// Does what the scheduler decided.
+    pub(super) fn perform(self: &Arc<Self>, state: &mut State, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Start(request) => self.begin(state, request),
+                Action::Refuse { request, kind } => {
+                    self.count("sidecar.refused", kind.as_str());
+                    let detail = format!("request {request} was not started");
+                    state.end_not_run(self.now(), request, kind, detail);
+                }
+                Action::Preempt(request) => {
+                    if let Some(job) = state.jobs.get(&request) {
+                        job.stop.preempted.cancel();
+                    }
+                }
+            }
+        }
+    }
+
+    fn begin(self: &Arc<Self>, state: &mut State, request: RequestId) {
+        state
+            .ledger
+            .start(request)
+            .expect("a scheduled request waits in the ledger");
+        let job = state
+            .jobs
+            .get_mut(&request)
+            .expect("a scheduled request has a job");
+        let call = job.call.take().expect("a call is given away once");
+        job.answer.start();
+        let run = Run {
+            shared: Arc::clone(self),
+            meta: job.meta.clone(),
+            answer: job.answer.clone(),
+            stop: job.stop.clone(),
+        };
+        tokio::spawn(run.run(call));
+    }
+
+    fn ticket_of(&self, now: crate::time::Monotonic, msg: &Dispatch) -> Ticket {
+        let tables = self.tables.get();
+        let pool = tables.pools.get(&msg.pool);
+        let weight = pool.and_then(|p| p.weights.get(&msg.account)).copied();
+        Ticket {
+            request: msg.request,
+            tier: msg.tier,
+            account: msg.account.clone(),
+            weight: weight.unwrap_or(1),
+            deadline: now + msg.deadline(),
+            cost: cost_of(msg.work),
+            non_idempotent: msg.non_idempotent,
+        }
+    }
+
+    /// Merges what an entry knows; nothing is ever taken back.
+    fn take_knowledge(&self, state: &mut State, msg: &ReportRequest) {
+        state.noted_tables = state.noted_tables.max(msg.tables);
+        if state.brakes.merge(msg.brakes.iter().cloned()) {
+            info!(self.cx.log, "brakes learned"; "brakes" => state.brakes.len());
+        }
+        if !state.is_leaving && msg.leaving.contains(&self.settings.endpoint) {
+            state.is_leaving = true;
+            info!(self.cx.log, "endpoint is leaving"; "signal" => "entry");
+        }
+        if let Some(split) = &msg.split
+            && split.pool == self.settings.pool
+            && split.seq > state.split_seq()
+        {
+            state.split = Some(split.clone());
+        }
+        if msg.order_pressure > 0 {
+            state.scheduler.press(self.now());
+        }
+    }
+}
+
+fn new_state(settings: &Settings, cx: &Context) -> State {
+    let incarnation = Incarnation::random(&mut cx.rng("incarnation"));
+    let started_unix_ms = u64::try_from(jiff::Timestamp::now().as_millisecond()).unwrap_or(0);
+    let capacity = Capacity {
+        slots: settings.slots,
+        queue: settings.queue_limits(),
+        reference_tokens_per_second: f64::from(settings.reference_tokens_per_second),
+    };
+    State {
+        ledger: Ledger::new(incarnation, started_unix_ms, settings.ledger_limits()),
+        scheduler: Scheduler::new(capacity),
+        jobs: HashMap::new(),
+        replay: Replay::new(settings.replay_bytes),
+        brakes: Brakes::default(),
+        split: None,
+        outcomes: OutcomeTable::default(),
+        cache: CacheIndex::default(),
+        service_times: BTreeMap::new(),
+        version: settings.version.clone(),
+        fence: Fence::default(),
+        is_leaving: false,
+        noted_tables: crate::id::TableVersion::default(),
+    }
+}
+
+fn claim_of(msg: &Dispatch) -> Claim {
+    let key = msg.key.map(|key| KeyClaim {
+        key,
+        made_ms: msg.key_time_ms,
+        fingerprint: fingerprint(msg),
+        non_idempotent: msg.non_idempotent,
+    });
+    Claim {
+        request: msg.request,
+        attempt: msg.attempt,
+        incarnation: msg.incarnation,
+        mark: msg.mark,
+        key,
+    }
+}
+
+fn fingerprint(msg: &Dispatch) -> u64 {
+    crate::ledger::fingerprint(&msg.call)
+}
+
+/// Lets a request that shares the run of `first` share its answer too.
+fn share_answer(state: &mut State, request: RequestId, first: RequestId) -> Option<Answer> {
+    let job = state.jobs.get(&first)?;
+    let answer = job.answer.clone();
+    if request != first {
+        let shared = Job {
+            answer: answer.clone(),
+            stop: job.stop.clone(),
+            meta: job.meta.clone(),
+            call: None,
+        };
+        state.jobs.insert(request, shared);
+    }
+    Some(answer)
+}
--- a/crates/eelgrassramp/src/sidecar/settings.rs
+++ b/crates/eelgrassramp/src/sidecar/settings.rs
@@ -22,8 +22,7 @@
 use crate::name::is_valid_name;
 
 /// What kind of endpoint stands behind a sidecar.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum EndpointKind {
     /// A model engine that batches, streams, resumes and cancels.
@@ -33,8 +32,7 @@
 }
 
 /// The settings of one sidecar process, as its settings file gives them.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Where the sidecar listens for entries.
@@ -165,7 +163,11 @@
         ];
         for (field, name) in names {
             if !is_valid_name(name) {
-                return Err(invalid(origin, field, &format!("{name:?} is not a valid name")));
+                return Err(invalid(
+                    origin,
+                    field,
+                    &format!("{name:?} is not a valid name"),
+                ));
             }
         }
         let counts = [
--- a/crates/eelgrassramp/src/sidecar/speed.rs
+++ b/crates/eelgrassramp/src/sidecar/speed.rs
@@ -13,7 +13,10 @@
 
 /// Returns the predicted cost of a request in output tokens.
 pub(super) fn cost_of(work: Work) -> u64 {
-    to_cost(u64::from(work.prefill_tokens), u64::from(work.output_tokens))
+    to_cost(
+        u64::from(work.prefill_tokens),
+        u64::from(work.output_tokens),
+    )
 }
 
 /// Returns the actual cost of a request in output tokens; a plain service's call costs 1.
--- a/crates/eelgrassramp/src/sidecar/state.rs
+++ b/crates/eelgrassramp/src/sidecar/state.rs
@@ -8,7 +8,7 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
-use cadence::CountedExt;
+use cadence::prelude::*;
 use hdrhistogram::Histogram;
 use tokio_util::sync::CancellationToken;
 
@@ -23,6 +23,7 @@
 use crate::name::RouteName;
 use crate::name::VersionName;
 use crate::process::Context;
+use crate::store::ObjectApi;
 use crate::tables::Current;
 use crate::tier::Tier;
 use crate::time::Monotonic;
@@ -45,6 +46,9 @@
 pub(super) struct Shared {
     pub(super) settings: Settings,
     pub(super) engine: Arc<dyn Engine>,
+    pub(super) store: Option<Arc<dyn ObjectApi>>,
+    /// When this life began on the clock of `cx.timers`.
+    pub(super) started_at: Monotonic,
     pub(super) cx: Context,
     pub(super) tables: Arc<Current>,
     pub(super) state: Mutex<State>,
@@ -98,6 +102,7 @@
     pub(super) tier: Tier,
     pub(super) version: VersionName,
     pub(super) deadline: Monotonic,
+    pub(super) cost: u64,
     pub(super) non_idempotent: bool,
 }
 
@@ -123,8 +128,9 @@
             .expect("no thread panics while it holds the lock")
     }
 
+    /// Returns the time since this life began, the clock of everything behind the lock.
     pub(super) fn now(&self) -> Monotonic {
-        self.cx.timers.now()
+        Monotonic::ZERO + self.cx.timers.now().since(self.started_at)
     }
 
     pub(super) fn load(&self) -> Load {
@@ -241,10 +247,7 @@
     }
 
     pub(super) fn record_time(&mut self, tier: Tier, time: Duration) {
-        let histogram = self
-            .service_times
-            .entry(tier)
-            .or_insert_with(new_histogram);
+        let histogram = self.service_times.entry(tier).or_insert_with(new_histogram);
         histogram.saturating_record(crate::num::micros(time));
     }
 }
--- a/crates/eelgrassramp/src/wire/message.rs
+++ b/crates/eelgrassramp/src/wire/message.rs
@@ -230,6 +230,8 @@
     pub request: RequestId,
     /// The sidecar's life that was given the request.
     pub incarnation: Incarnation,
+    /// The clock mark that the dispatch carried.
+    pub mark: ClockMark,
 }
 
 /// What a sidecar knows of a request that was to be revoked.
@@ -243,6 +245,8 @@
     Finished,
     /// The sidecar's life is another one, so it cannot tell.
     OtherIncarnation(Incarnation),
+    /// The dispatch is older than the sidecar remembers, so it cannot tell.
+    Forgotten,
 }
 
 /// Tells that the caller has gone and the answer is not wanted.
