--- a/crates/eelgrassramp/src/lib.rs
+++ b/crates/eelgrassramp/src/lib.rs
@@ -20,6 +20,7 @@
 mod error;
 mod id;
 pub mod jsonc;
+pub mod lease;
 pub mod ledger;
 pub mod link;
 pub mod log;
