--- a/crates/eelgrassramp/tests/sidecar/fixture.rs
+++ b/crates/eelgrassramp/tests/sidecar/fixture.rs
@@ -48,18 +48,20 @@
 pub const BREAK_AT: usize = 6;
 
 /// What the engine does with each call.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Script {
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Script {
+    /// Answers whole.
+    Answers,
     /// Refuses the connection.
-    pub refuse: bool,
-    /// Breaks the first stream after [`BREAK_AT`] bytes.
-    pub breaks: bool,
-    /// Cannot resume.
-    pub forgets: bool,
+    Refuses,
+    /// Breaks the first stream after [`BREAK_AT`] bytes and resumes it.
+    Breaks,
+    /// Breaks the first stream after [`BREAK_AT`] bytes and cannot resume it.
+    BreaksForGood,
     /// Waits for [`FakeEngine::release`] before the first byte.
-    pub holds: bool,
-    /// Ignores fencing tokens and orders alike.
-    pub ignores_orders: bool,
+    Holds,
+    /// Answers orders without carrying them out.
+    IgnoresOrders,
 }
 
 /// An engine that does what its script says and counts its runs.
@@ -99,45 +101,36 @@
     fn script(&self) -> Script {
         *self.script.lock().expect("lock")
     }
-
-    fn events(&self, from: usize, to: usize) -> Vec<Result<EngineEvent>> {
-        let head = EngineEvent::Head {
-            status: 200,
-            headers: Vec::new(),
-        };
-        let data = Bytes::from_static(&BODY.as_bytes()[from..to]);
-        vec![Ok(head), Ok(EngineEvent::Data(data))]
-    }
 }
 
 #[async_trait]
 impl Engine for FakeEngine {
     async fn run(&self, request: RequestId, _call: Call) -> Result<EngineStream> {
         let script = self.script();
-        if script.refuse {
+        if script == Script::Refuses {
             return Err(Error::new(Kind::ConnectFailed, "refused by script"));
         }
         *self.runs.lock().expect("lock").entry(request).or_default() += 1;
-        if script.holds {
+        if script == Script::Holds {
             self.gate.acquire().await.expect("open").forget();
         }
-        let (end, last) = if script.breaks {
+        let (end, last) = if matches!(script, Script::Breaks | Script::BreaksForGood) {
             let e = Error::new(Kind::StreamBroken, "broken by script");
             (BREAK_AT, Err(e))
         } else {
             (BODY.len(), Ok(EngineEvent::End(usage())))
         };
-        let mut events = self.events(0, end);
+        let mut events = events(0, end);
         events.push(last);
         Ok(Box::pin(stream::iter(events)))
     }
 
     async fn resume(&self, _request: RequestId, offset: u64) -> Result<EngineStream> {
-        if self.script().forgets {
+        if self.script() == Script::BreaksForGood {
             return Err(Error::new(Kind::OutcomeUnknown, "forgotten by script"));
         }
         let offset = usize::try_from(offset).expect("small");
-        let mut events = self.events(offset, BODY.len());
+        let mut events = events(offset, BODY.len());
         events.push(Ok(EngineEvent::End(usage())));
         Ok(Box::pin(stream::iter(events)))
     }
@@ -166,13 +159,25 @@
 
     async fn order(&self, action: EngineAction, _fence: FencingToken) -> Result<VersionName> {
         let mut version = self.version.lock().expect("lock");
-        if let (EngineAction::Load(wanted), false) = (action, self.script().ignores_orders) {
-            *version = wanted;
+        match action {
+            EngineAction::Load(wanted) if self.script() != Script::IgnoresOrders => {
+                *version = wanted;
+            }
+            _ => {}
         }
         Ok(version.clone())
     }
 }
 
+fn events(from: usize, to: usize) -> Vec<Result<EngineEvent>> {
+    let head = EngineEvent::Head {
+        status: 200,
+        headers: Vec::new(),
+    };
+    let data = Bytes::from_static(&BODY.as_bytes()[from..to]);
+    vec![Ok(head), Ok(EngineEvent::Data(data))]
+}
+
 fn usage() -> Usage {
     Usage {
         prefill_tokens: 10,
--- a/crates/eelgrassramp/tests/sidecar/http.rs
+++ b/crates/eelgrassramp/tests/sidecar/http.rs
@@ -90,11 +90,7 @@
 #[googletest::test]
 #[tokio::test]
 async fn a_stop_during_an_answer_cuts_nothing_off() {
-    let server = server(Script {
-        holds: true,
-        ..Script::default()
-    })
-    .await;
+    let server = server(Script::Holds).await;
     let body = dispatch_body(server.address).await;
     let answer = tokio::spawn(post(server.address, wire::path::DISPATCH, body));
     while server.engine.runs_of(super::fixture::request(1)) == 0 {
@@ -119,7 +115,7 @@
 #[googletest::test]
 #[tokio::test]
 async fn a_malformed_call_gets_a_named_failure() {
-    let server = server(Script::default()).await;
+    let server = server(Script::Answers).await;
     let garbage = Bytes::from_static(b"\xc1\xff not a message");
 
     let (status, body) = post(server.address, wire::path::DISPATCH, garbage).await;
--- a/crates/eelgrassramp/tests/sidecar/runs.rs
+++ b/crates/eelgrassramp/tests/sidecar/runs.rs
@@ -18,7 +18,7 @@
 #[googletest::test]
 #[tokio::test(start_paused = true)]
 async fn a_duplicate_gets_the_answer_of_the_first_run() {
-    let fx = sidecar(Script::default());
+    let fx = sidecar(Script::Answers);
     let msg = fx.dispatch(1, Tier::Interactive).await;
 
     let first = read(fx.service.dispatch(msg.clone()).await).await;
@@ -32,10 +32,7 @@
 #[googletest::test]
 #[tokio::test(start_paused = true)]
 async fn a_broken_engine_stream_is_resumed_where_it_broke() {
-    let fx = sidecar(Script {
-        breaks: true,
-        ..Script::default()
-    });
+    let fx = sidecar(Script::Breaks);
 
     let got = read(fx.begin(1, Tier::Interactive).await).await;
 
@@ -46,11 +43,7 @@
 #[googletest::test]
 #[tokio::test(start_paused = true)]
 async fn a_stream_that_cannot_be_resumed_may_have_run() {
-    let fx = sidecar(Script {
-        breaks: true,
-        forgets: true,
-        ..Script::default()
-    });
+    let fx = sidecar(Script::BreaksForGood);
 
     let got = read(fx.begin(1, Tier::Interactive).await).await;
 
@@ -60,10 +53,7 @@
 #[googletest::test]
 #[tokio::test(start_paused = true)]
 async fn an_engine_that_refuses_the_connection_has_not_run_the_request() {
-    let fx = sidecar(Script {
-        refuse: true,
-        ..Script::default()
-    });
+    let fx = sidecar(Script::Refuses);
 
     let got = read(fx.begin(1, Tier::Order).await).await;
 
@@ -73,7 +63,7 @@
 #[googletest::test]
 #[tokio::test(start_paused = true)]
 async fn a_reader_attaches_in_the_middle_of_an_answer() {
-    let fx = sidecar(Script::default());
+    let fx = sidecar(Script::Answers);
     read(fx.begin(1, Tier::Interactive).await).await;
     let offset = u64::try_from(BREAK_AT).expect("small");
     let attach = Attach {
--- a/crates/eelgrassramp/tests/sidecar/urgency.rs
+++ b/crates/eelgrassramp/tests/sidecar/urgency.rs
@@ -19,10 +19,7 @@
 const SLOTS: usize = 2;
 
 fn held() -> Fixture {
-    sidecar(Script {
-        holds: true,
-        ..Script::default()
-    })
+    sidecar(Script::Holds)
 }
 
 fn reading(frames: FrameStream) -> JoinHandle<Got> {
