--- a/crates/programs/src/bin/eelgrassramp-sidecar.rs
+++ b/crates/programs/src/bin/eelgrassramp-sidecar.rs
@@ -6,8 +6,8 @@
 
 use eelgrassramp::Context;
 use eelgrassramp::Result;
-use eelgrassramp::sidecar;
 use eelgrassramp::log::Verbosity;
+use eelgrassramp::sidecar;
 use eelgrassramp_programs::Program;
 
 struct Sidecar;
