Operators' tool: check, diff, apply, get and history of the tables

Edits are merged row by row on their base; the loser of a clash sees both values. A lost reply is settled by the edit id in the document.

--- a/crates/eelgrassramp/src/tables.rs
+++ b/crates/eelgrassramp/src/tables.rs
@@ -1,13 +1,24 @@
 //! The two tables that operators edit: routes and pools, joined by name.
 
+mod apply;
 mod check;
 mod current;
 mod document;
 mod follow;
 mod join;
+mod merge;
 mod model;
+mod row;
 mod spread;
+mod unique;
 
+pub use self::apply::APPLY_TIMEOUT;
+pub use self::apply::Applied;
+pub use self::apply::Applier;
+pub use self::apply::ApplyError;
+pub use self::apply::FORMER_RETENTION;
+pub use self::apply::NewEdit;
+pub use self::apply::history_key;
 pub use self::check::Fault;
 pub use self::check::MAX_BODY_BYTES;
 pub use self::check::MAX_TIMEOUT_MS;
@@ -24,6 +35,9 @@
 pub use self::document::RouteRow;
 pub use self::follow::OBJECT_KEY;
 pub use self::follow::follow;
+pub use self::merge::Clash;
+pub use self::merge::RowClash;
+pub use self::merge::merge;
 pub use self::model::Edit;
 pub use self::model::Endpoint;
 pub use self::model::FencingCheck;
@@ -33,6 +47,9 @@
 pub use self::model::PoolKind;
 pub use self::model::Route;
 pub use self::model::Tables;
+pub use self::row::Change;
+pub use self::row::Row;
+pub use self::row::RowKey;
 pub use self::spread::Spread;
 pub use self::spread::SpreadAction;
 pub use self::spread::SpreadCore;
--- a/crates/eelgrassramp/src/tables/document.rs
+++ b/crates/eelgrassramp/src/tables/document.rs
@@ -10,6 +10,7 @@
 
 use super::check;
 use super::model::Tables;
+use super::unique;
 use crate::error::Error;
 use crate::error::Kind;
 use crate::error::Result;
@@ -120,6 +121,7 @@
     pub fencing: FencingCell,
     /// Relative shares of client accounts.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    #[serde(deserialize_with = "unique::deserialize")]
     pub weights: BTreeMap<AccountName, u32>,
     /// The move to another version.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/programs/src/bin/eelgrassramp-ctl.rs
+++ b/crates/programs/src/bin/eelgrassramp-ctl.rs
@@ -1,3 +1,7 @@
 //! Checks and edits the tables and shows moves.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    eelgrassramp_programs::ctl_main()
+}
--- /dev/null
+++ b/crates/programs/src/ctl/command.rs
@@ -0,0 +1,158 @@
+//! The command line of the operators' tool.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::Command;
+use clap::value_parser;
+use eelgrassramp::RequestId;
+
+use super::output::Output;
+
+/// Name of the tool on the command line and in the platform's counts.
+pub(super) const NAME: &str = "eelgrassramp-ctl";
+
+const EXIT_CODES: &str = "\
+Exit codes:
+  0  done
+  1  refused: another edit changed the same rows, or the outcome is not known
+  2  invalid command line, settings file or tables file
+  3  the object API is away; nothing was changed";
+
+const DEFAULT_HISTORY: &str = "20";
+
+/// Builds the command line.
+#[must_use]
+pub fn command() -> Command {
+    Command::new(NAME)
+        .about("Checks and edits the tables of routes and pools, shows status and moves")
+        .version(clap::crate_version!())
+        .after_help(EXIT_CODES)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .args([settings(), store(), output()])
+        .subcommand(tables())
+}
+
+fn tables() -> Command {
+    Command::new("tables")
+        .about("Checks, compares and applies the tables")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(check())
+        .subcommand(diff())
+        .subcommand(apply())
+        .subcommand(get())
+        .subcommand(history())
+}
+
+fn check() -> Command {
+    Command::new("check")
+        .about("Names every fault of a tables file")
+        .arg(file())
+        .arg(
+            Arg::new("against-store")
+                .long("against-store")
+                .help("Also tell whether the file could be applied to the tables in force")
+                .action(ArgAction::SetTrue),
+        )
+        .arg(base())
+}
+
+fn diff() -> Command {
+    Command::new("diff")
+        .about("Shows what a tables file would change in the tables in force")
+        .arg(file())
+        .arg(base())
+}
+
+fn apply() -> Command {
+    Command::new("apply")
+        .about("Puts a tables file in force, merged with other edits on the same base")
+        .arg(file())
+        .arg(base())
+        .arg(
+            Arg::new("message")
+                .long("message")
+                .short('m')
+                .value_name("TEXT")
+                .help("Why the tables change; kept in the history"),
+        )
+        .arg(
+            Arg::new("edit")
+                .long("edit")
+                .value_name("ID")
+                .help("Settle an earlier edit whose outcome is not known")
+                .value_parser(value_parser!(RequestId)),
+        )
+}
+
+fn get() -> Command {
+    Command::new("get")
+        .about("Prints the tables in force, fit for an edit")
+        .arg(
+            Arg::new("version")
+                .long("version")
+                .value_name("VERSION")
+                .help("Print an earlier version")
+                .value_parser(value_parser!(u64)),
+        )
+}
+
+fn history() -> Command {
+    Command::new("history").about("Lists the latest edits").arg(
+        Arg::new("limit")
+            .long("limit")
+            .value_name("NUMBER")
+            .help("How many edits to list")
+            .default_value(DEFAULT_HISTORY)
+            .value_parser(value_parser!(u32).range(1..)),
+    )
+}
+
+fn file() -> Arg {
+    Arg::new("file")
+        .value_name("FILE")
+        .help("Tables in JSON with comments")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+}
+
+fn base() -> Arg {
+    Arg::new("base")
+        .long("base")
+        .value_name("VERSION")
+        .help("The version that the file was edited from; without it, the version in force")
+        .value_parser(value_parser!(u64))
+}
+
+fn settings() -> Arg {
+    Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .help("Settings in JSON with comments")
+        .global(true)
+        .value_parser(value_parser!(PathBuf))
+}
+
+fn store() -> Arg {
+    Arg::new("store")
+        .long("store")
+        .value_name("ADDRESS")
+        .help("Address of the platform's object API, such as 127.0.0.1:7000")
+        .global(true)
+        .value_parser(value_parser!(SocketAddr))
+}
+
+fn output() -> Arg {
+    Arg::new("output")
+        .long("output")
+        .short('o')
+        .value_name("FORM")
+        .help("Form of the output")
+        .global(true)
+        .default_value("table")
+        .value_parser(value_parser!(Output))
+}
--- /dev/null
+++ b/crates/programs/src/ctl/tables.rs
@@ -0,0 +1,66 @@
+//! The commands about the tables.
+
+mod apply;
+mod check;
+mod diff;
+mod show;
+
+use std::path::Path;
+use std::path::PathBuf;
+
+use clap::ArgMatches;
+use eelgrassramp::TableVersion;
+use eelgrassramp::tables::Document;
+use eelgrassramp::tables::Fault;
+
+use super::failure::Failure;
+use super::output::Output;
+use crate::Exit;
+
+/// Runs the subcommand that `m` names.
+pub(super) async fn run(m: &ArgMatches) -> Result<(), Failure> {
+    match m.subcommand() {
+        Some(("check", m)) => check::run(m).await,
+        Some(("diff", m)) => diff::run(m).await,
+        Some(("apply", m)) => apply::run(m).await,
+        Some(("get", m)) => show::get(m).await,
+        Some(("history", m)) => show::history(m).await,
+        _ => Err(Failure::usage("no such command")),
+    }
+}
+
+fn output(m: &ArgMatches) -> Output {
+    m.get_one("output").copied().unwrap_or(Output::Table)
+}
+
+fn path(m: &ArgMatches) -> Result<&PathBuf, Failure> {
+    m.get_one("file").ok_or_else(|| Failure::usage("no file"))
+}
+
+fn base(m: &ArgMatches) -> Option<TableVersion> {
+    m.get_one("base").copied().map(TableVersion)
+}
+
+/// Reads a tables file and names every fault of it.
+fn read_checked(path: &Path) -> Result<Document, Failure> {
+    let document = read(path)?;
+    let faults = document.faults(Some(jiff::Timestamp::now()));
+    if faults.is_empty() {
+        Ok(document)
+    } else {
+        Err(invalid(path, &faults))
+    }
+}
+
+fn read(path: &Path) -> Result<Document, Failure> {
+    let origin = path.display().to_string();
+    let text =
+        std::fs::read_to_string(path).map_err(|e| Failure::usage(format!("{origin}: {e}")))?;
+    Ok(Document::from_jsonc(&text, &origin)?)
+}
+
+fn invalid(path: &Path, faults: &[Fault]) -> Failure {
+    let origin = path.display();
+    let lines = faults.iter().map(|f| format!("{origin}: {f}")).collect();
+    Failure::new(Exit::Usage, lines)
+}
--- /dev/null
+++ b/crates/programs/src/ctl/tables/apply.rs
@@ -0,0 +1,103 @@
+//! `tables apply`: puts a file in force.
+
+use clap::ArgMatches;
+use eelgrassramp::Kind;
+use eelgrassramp::RequestId;
+use eelgrassramp::TableVersion;
+use eelgrassramp::tables::Applied;
+use eelgrassramp::tables::ApplyError;
+use eelgrassramp::tables::Clash;
+use eelgrassramp::tables::NewEdit;
+use eelgrassramp::tables::Row;
+use serde::Serialize;
+
+use super::super::connect;
+use super::super::failure::Failure;
+use super::super::output::Output;
+use super::super::output::print_json;
+use crate::Exit;
+
+#[derive(Debug, Serialize)]
+struct AppliedRow {
+    version: TableVersion,
+    edit: String,
+    changed: bool,
+    merged: bool,
+}
+
+pub(super) async fn run(m: &ArgMatches) -> Result<(), Failure> {
+    let path = super::path(m)?;
+    let edit = NewEdit {
+        document: super::read_checked(path)?,
+        base: super::base(m),
+        id: edit_id(m),
+        at: jiff::Timestamp::now(),
+        message: m.get_one("message").cloned().unwrap_or_default(),
+    };
+    match connect::applier(m)?.apply(&edit).await {
+        Ok(applied) => print(m, &edit, &applied),
+        Err(ApplyError::Invalid(faults)) => Err(super::invalid(path, &faults)),
+        Err(ApplyError::Clashes(clashes)) => Err(clash_failure(&clashes)),
+        Err(ApplyError::Store(e)) if e.kind() == Kind::WriteUnsettled => {
+            let hint = format!(
+                "to settle it, run the command again with --edit {}",
+                edit.id
+            );
+            Err(Failure::new(
+                Exit::Failed,
+                vec![e.detail().to_owned(), hint],
+            ))
+        }
+        Err(ApplyError::Store(e)) => Err(e.into()),
+    }
+}
+
+fn edit_id(m: &ArgMatches) -> RequestId {
+    let given = m.get_one::<RequestId>("edit").copied();
+    given.unwrap_or_else(|| RequestId::random(&mut rand::rng()))
+}
+
+fn print(m: &ArgMatches, edit: &NewEdit, applied: &Applied) -> Result<(), Failure> {
+    if super::output(m) == Output::Json {
+        return print_json(&AppliedRow {
+            version: applied.version,
+            edit: edit.id.to_string(),
+            changed: applied.changed,
+            merged: applied.merged,
+        });
+    }
+    let version = applied.version;
+    if !applied.changed {
+        println!("version {version} in force already has these rows");
+        return Ok(());
+    }
+    println!("version {version} accepted (edit {})", edit.id);
+    if applied.merged {
+        println!("rows that other edits changed since the base were kept");
+    }
+    Ok(())
+}
+
+/// Names every clash with both values.
+pub(super) fn clash_failure(clashes: &[Clash]) -> Failure {
+    let mut lines = vec!["not applied: another edit changed the same rows".to_owned()];
+    for clash in clashes {
+        lines.push(clash.to_string());
+        match clash {
+            Clash::Row(row) => {
+                lines.push(format!("  this edit: {}", one_line(row.ours.as_ref())));
+                lines.push(format!("  in force:  {}", one_line(row.theirs.as_ref())));
+            }
+            Clash::RouteOrder { ours, theirs } => {
+                lines.push(format!("  this edit: {ours:?}"));
+                lines.push(format!("  in force:  {theirs:?}"));
+            }
+        }
+    }
+    lines.push("get the tables in force, make the edit there and apply it again".to_owned());
+    Failure::new(Exit::Failed, lines)
+}
+
+fn one_line(row: Option<&Row>) -> String {
+    row.map_or_else(|| "(no such row)".to_owned(), ToString::to_string)
+}
--- /dev/null
+++ b/crates/programs/src/ctl/tables/check.rs
@@ -0,0 +1,60 @@
+//! `tables check`: names every fault of a file.
+
+use clap::ArgMatches;
+use eelgrassramp::tables::Document;
+use eelgrassramp::tables::merge;
+use serde::Serialize;
+
+use super::super::connect;
+use super::super::failure::Failure;
+use super::super::output::Output;
+use super::super::output::print_json;
+use super::apply::clash_failure;
+
+#[derive(Debug, Serialize)]
+struct Checked {
+    valid: bool,
+    routes: usize,
+    pools: usize,
+    endpoints: usize,
+}
+
+pub(super) async fn run(m: &ArgMatches) -> Result<(), Failure> {
+    let path = super::path(m)?;
+    let document = super::read_checked(path)?;
+    if m.get_flag("against-store") {
+        check_against_store(m, &document).await?;
+    }
+    let checked = Checked {
+        valid: true,
+        routes: document.routes.len(),
+        pools: document.pools.len(),
+        endpoints: document.pools.iter().map(|p| p.endpoints.len()).sum(),
+    };
+    match super::output(m) {
+        Output::Json => print_json(&checked),
+        Output::Table => {
+            println!(
+                "{}: valid: {} routes, {} pools, {} endpoints",
+                path.display(),
+                checked.routes,
+                checked.pools,
+                checked.endpoints
+            );
+            Ok(())
+        }
+    }
+}
+
+async fn check_against_store(m: &ArgMatches, document: &Document) -> Result<(), Failure> {
+    let applier = connect::applier(m)?;
+    let (version, theirs) = applier.read().await?;
+    let base = match super::base(m) {
+        Some(base) if base != version => applier.read_version(base).await?,
+        _ => theirs.clone(),
+    };
+    match merge(&base, &document.without_history(), &theirs) {
+        Ok(_) => Ok(()),
+        Err(clashes) => Err(clash_failure(&clashes)),
+    }
+}
--- a/crates/programs/src/lib.rs
+++ b/crates/programs/src/lib.rs
@@ -1,9 +1,12 @@
 //! Parts that the programs share: command line, settings file, logs, signals.
 
 mod command;
+mod ctl;
 mod run;
 
 pub use self::command::command;
+pub use self::ctl::ctl_command;
+pub use self::ctl::ctl_main;
 pub use self::run::Exit;
 pub use self::run::Program;
 pub use self::run::main;
--- a/crates/programs/src/run.rs
+++ b/crates/programs/src/run.rs
@@ -30,6 +30,8 @@
     Failed = 1,
     /// The command line, a settings file or a tables file is invalid.
     Usage = 2,
+    /// The platform's object API is away, so nothing was changed.
+    StoreAway = 3,
 }
 
 impl From<Exit> for ExitCode {
--- /dev/null
+++ b/crates/programs/tests/ctl_apply.rs
@@ -0,0 +1,213 @@
+//! The tool against a stand-in of the platform: edits, conflicts, lost replies, outages.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Output;
+use std::sync::Arc;
+
+use eelgrassramp::Timers;
+use eelgrassramp_standins::http::serve;
+use eelgrassramp_standins::platform::FiredFault;
+use eelgrassramp_standins::platform::Platform;
+use eelgrassramp_standins::platform::Settings;
+use googletest::prelude::*;
+use serde_json::Value;
+use tokio::process::Command;
+use tokio_util::sync::CancellationToken;
+
+const MUG_PRINTS: &str = include_str!("../../../examples/mug-prints.jsonc");
+
+struct Bench {
+    platform: Arc<Platform>,
+    address: SocketAddr,
+    name: &'static str,
+}
+
+impl Bench {
+    async fn start(name: &'static str) -> Self {
+        let platform = Platform::new(Settings::default(), Timers::start());
+        let address = serve(
+            SocketAddr::from(([127, 0, 0, 1], 0)),
+            Arc::clone(&platform) as _,
+            CancellationToken::new(),
+        )
+        .await
+        .expect("a free port on loopback");
+        Self {
+            platform,
+            address,
+            name,
+        }
+    }
+
+    async fn ctl(&self, args: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_eelgrassramp-ctl"))
+            .args(["--store", &self.address.to_string()])
+            .args(args)
+            .output()
+            .await
+            .expect("the tool starts")
+    }
+
+    async fn apply(&self, text: &str, args: &[&str]) -> Output {
+        let path = self.file(text);
+        let all = [&["tables", "apply", path.as_str()], args].concat();
+        self.ctl(&all).await
+    }
+
+    async fn json(&self, args: &[&str]) -> Value {
+        let out = self.ctl(&[&["--output", "json"], args].concat()).await;
+        serde_json::from_slice(&out.stdout).expect("JSON on standard output")
+    }
+
+    async fn route_timeout(&self, route: &str) -> Option<u64> {
+        let shown = self.json(&["tables", "get"]).await;
+        let routes = shown["tables"]["routes"].as_array()?.iter();
+        let row = routes.clone().find(|r| r["name"] == route)?;
+        row["timeout_ms"].as_u64()
+    }
+
+    fn file(&self, text: &str) -> String {
+        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(self.name);
+        std::fs::write(&path, text).expect("the target folder can be written");
+        path.display().to_string()
+    }
+}
+
+fn stdout(out: &Output) -> String {
+    String::from_utf8_lossy(&out.stdout).into_owned()
+}
+
+fn stderr(out: &Output) -> String {
+    String::from_utf8_lossy(&out.stderr).into_owned()
+}
+
+/// The example with the timeouts of the order and the greeting route changed.
+fn edited(order_ms: u64, greeting_ms: u64) -> String {
+    MUG_PRINTS
+        .replace(
+            "\"timeout_ms\": 10000",
+            &format!("\"timeout_ms\": {order_ms}"),
+        )
+        .replace(
+            "\"timeout_ms\": 8000",
+            &format!("\"timeout_ms\": {greeting_ms}"),
+        )
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn applied_tables_are_read_back_and_listed() {
+    let bench = Bench::start("applied.jsonc").await;
+
+    let first = bench.apply(MUG_PRINTS, &["-m", "first tables"]).await;
+    let again = bench.apply(MUG_PRINTS, &[]).await;
+    let history = bench.json(&["tables", "history"]).await;
+
+    expect_that!(first.status.code(), some(eq(0)), "{}", stderr(&first));
+    expect_that!(stdout(&again), contains_substring("already has these rows"));
+    expect_that!(history.as_array().map(Vec::len), some(eq(1)));
+    expect_that!(history[0]["message"].as_str(), some(eq("first tables")));
+    expect_that!(bench.route_timeout("order").await, some(eq(10_000)));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn edits_of_different_rows_on_one_base_are_merged() {
+    let bench = Bench::start("merged.jsonc").await;
+    bench.apply(MUG_PRINTS, &[]).await;
+    let base = bench.json(&["tables", "get"]).await["version"].to_string();
+
+    let one = bench
+        .apply(&edited(11_000, 8_000), &["--base", &base])
+        .await;
+    let other = bench
+        .apply(&edited(10_000, 9_000), &["--base", &base])
+        .await;
+
+    expect_that!(one.status.code(), some(eq(0)), "{}", stderr(&one));
+    expect_that!(other.status.code(), some(eq(0)), "{}", stderr(&other));
+    expect_that!(
+        stdout(&other),
+        contains_substring("rows that other edits changed")
+    );
+    expect_that!(bench.route_timeout("order").await, some(eq(11_000)));
+    expect_that!(bench.route_timeout("greeting").await, some(eq(9_000)));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn loser_of_a_conflict_is_told_what_clashed_with_both_values() {
+    let bench = Bench::start("clash.jsonc").await;
+    bench.apply(MUG_PRINTS, &[]).await;
+    let base = bench.json(&["tables", "get"]).await["version"].to_string();
+    bench
+        .apply(&edited(11_000, 8_000), &["--base", &base])
+        .await;
+
+    let loser = bench
+        .apply(&edited(12_000, 8_000), &["--base", &base])
+        .await;
+
+    expect_that!(loser.status.code(), some(eq(1)));
+    expect_that!(
+        stderr(&loser),
+        all![
+            contains_substring("route \"order\": this edit set it, another edit set it"),
+            contains_regex("this edit: .*12000"),
+            contains_regex("in force: .*11000"),
+        ]
+    );
+    expect_that!(bench.route_timeout("order").await, some(eq(11_000)));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn edit_whose_reply_was_lost_is_settled_and_made_once() {
+    let bench = Bench::start("lost.jsonc").await;
+    bench.apply(MUG_PRINTS, &[]).await;
+    bench.platform.set_faults(|f| f.lost_replies = 1);
+
+    let out = bench.apply(&edited(11_000, 8_000), &[]).await;
+    let history = bench.json(&["tables", "history"]).await;
+
+    expect_that!(bench.platform.fired(FiredFault::LostReply), eq(1));
+    expect_that!(out.status.code(), some(eq(0)), "{}", stderr(&out));
+    expect_that!(history.as_array().map(Vec::len), some(eq(2)));
+    expect_that!(bench.route_timeout("order").await, some(eq(11_000)));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn store_that_is_away_gives_its_own_exit_code() {
+    let bench = Bench::start("away.jsonc").await;
+    bench.platform.set_faults(|f| f.outage = true);
+
+    let out = bench.ctl(&["tables", "get"]).await;
+
+    expect_that!(out.status.code(), some(eq(3)));
+    expect_that!(
+        stderr(&out),
+        contains_substring("GET /objects/tables: status 503")
+    );
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn diff_shows_rows_and_lines() {
+    let bench = Bench::start("diff.jsonc").await;
+    bench.apply(MUG_PRINTS, &[]).await;
+    let path = bench.file(&edited(11_000, 8_000));
+
+    let out = bench.ctl(&["tables", "diff", &path]).await;
+
+    expect_that!(
+        stdout(&out),
+        all![
+            contains_substring("route \"order\" changed"),
+            contains_substring("-  \"timeout_ms\": 10000"),
+            contains_substring("+  \"timeout_ms\": 11000"),
+            not(contains_substring("greeting")),
+        ]
+    );
+}
