Wall clock of the timer service

Cause: the entry and the sidecar read the system's wall clock, so runs under a paused clock mixed two times. Change: Timers::wall_now; a service started with a date runs it with the tokio clock. Before: two direct readings of the system clock in decisions. After: none; a new test. Conclusion: dates must be read through the timer service.

--- a/crates/eelgrassramp/src/entry/run.rs
+++ b/crates/eelgrassramp/src/entry/run.rs
@@ -375,7 +375,7 @@
         let knowledge = core.router.knowledge();
         let version = knowledge.version_for(pool, &self.req.route.name, key.id)?;
         let is_guarded = self.req.route.non_idempotent;
-        let wall = jiff::Timestamp::now();
+        let wall = self.shared.cx.timers.wall_now();
         let tables = core.router.tables();
         guard::plan(tables, pool, knowledge, &version, &key, is_guarded, wall)
     }
--- a/crates/eelgrassramp/src/process.rs
+++ b/crates/eelgrassramp/src/process.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use cadence::StatsdClient;
+use jiff::Timestamp;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use slog::Logger;
@@ -33,7 +34,7 @@
         Self {
             log: crate::log::discard(),
             metrics: crate::metrics::discard(),
-            timers: Timers::start(),
+            timers: Timers::start_at(Timestamp::now()),
             stop: CancellationToken::new(),
             seed: Some(seed),
         }
--- a/crates/eelgrassramp/src/sidecar/service.rs
+++ b/crates/eelgrassramp/src/sidecar/service.rs
@@ -379,7 +379,7 @@
 
 fn new_state(settings: &Settings, cx: &Context) -> State {
     let incarnation = Incarnation::random(&mut cx.rng("incarnation"));
-    let started_unix_ms = u64::try_from(jiff::Timestamp::now().as_millisecond()).unwrap_or(0);
+    let started_unix_ms = u64::try_from(cx.timers.wall_now().as_millisecond()).unwrap_or(0);
     let capacity = Capacity {
         slots: settings.slots,
         queue: settings.queue_limits(),
--- a/crates/eelgrassramp/src/time.rs
+++ b/crates/eelgrassramp/src/time.rs
@@ -11,6 +11,7 @@
 use std::ops::Sub;
 use std::time::Duration;
 
+use jiff::Timestamp;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -72,21 +73,48 @@
 #[derive(Clone)]
 pub struct Timers {
     origin: Instant,
+    wall_start: Option<Timestamp>,
     tx: mpsc::UnboundedSender<Subscription>,
 }
 
 impl Timers {
-    /// Starts the service on the current tokio runtime.
+    /// Starts the service on the current tokio runtime, with the system's wall clock.
     #[must_use]
     pub fn start() -> Self {
+        Self::spawn(None)
+    }
+
+    /// Starts the service with a wall clock that shows `wall` now and runs with the tokio
+    /// clock, so that dates are as repeatable as waits.
+    #[must_use]
+    pub fn start_at(wall: Timestamp) -> Self {
+        Self::spawn(Some(wall))
+    }
+
+    fn spawn(wall_start: Option<Timestamp>) -> Self {
         let (tx, rx) = mpsc::unbounded_channel();
         tokio::spawn(run(rx));
         Self {
             origin: Instant::now(),
+            wall_start,
             tx,
         }
     }
 
+    /// Returns the date and time on the wall clock.
+    ///
+    /// It is for dates that people or other systems set; durations are judged by
+    /// [`Timers::now`].
+    #[must_use]
+    pub fn wall_now(&self) -> Timestamp {
+        match self.wall_start {
+            None => Timestamp::now(),
+            Some(start) => start
+                .saturating_add(self.origin.elapsed())
+                .unwrap_or(Timestamp::MAX),
+        }
+    }
+
     /// Returns the current point in time.
     #[must_use]
     pub fn now(&self) -> Monotonic {
--- a/crates/eelgrassramp/tests/timers.rs
+++ b/crates/eelgrassramp/tests/timers.rs
@@ -79,3 +79,14 @@
 
     assert_that!(timers.now(), eq(Monotonic::from_millis(80)));
 }
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_wall_clock_that_was_set_runs_with_the_timers() {
+    let start: jiff::Timestamp = "2026-12-20T06:00:00Z".parse().expect("a date");
+    let timers = Timers::start_at(start);
+
+    timers.after(MS(1500)).await;
+
+    assert_that!(timers.wall_now().to_string(), eq("2026-12-20T06:00:01.5Z"));
+}
