--- a/crates/eelgrassramp/src/ledger/book.rs
+++ b/crates/eelgrassramp/src/ledger/book.rs
@@ -1,8 +1,8 @@
 //! The ledger itself, a state machine without I/O.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
-use std::collections::hash_map::Entry as Slot;
+use std::collections::btree_map::Entry as Slot;
 use std::time::Duration;
 
 use crate::error::Kind;
@@ -30,13 +30,16 @@
 /// A request is remembered while it waits or runs, and for the retention after it ended. A
 /// dispatch is taken only with a clock mark younger than the retention, so a delayed copy
 /// arrives either while its request is remembered or too late to be taken.
-#[derive(Debug)]
+///
+/// Its state is plain data that can be cloned, compared and hashed, so that all its states can
+/// be searched through.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Ledger {
     incarnation: Incarnation,
     started_unix_ms: u64,
     limits: Limits,
-    entries: HashMap<RequestId, Entry>,
-    keys: HashMap<RequestId, KeyState>,
+    entries: BTreeMap<RequestId, Entry>,
+    keys: BTreeMap<RequestId, KeyState>,
     ended: VecDeque<Ended>,
     ended_with_key: VecDeque<Ended>,
     closed_keys: VecDeque<Ended>,
@@ -45,7 +48,7 @@
     refused_through: Option<ClockMark>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Entry {
     attempt: Attempt,
     key: Option<RequestId>,
@@ -54,7 +57,7 @@
     ended_at: Monotonic,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum State {
     Waiting,
     Running,
@@ -64,7 +67,7 @@
     Attached(RequestId),
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum KeyState {
     Used {
         request: RequestId,
@@ -73,7 +76,7 @@
     Closed,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct Ended {
     at: Monotonic,
     id: RequestId,
@@ -87,8 +90,8 @@
             incarnation,
             started_unix_ms,
             limits,
-            entries: HashMap::new(),
-            keys: HashMap::new(),
+            entries: BTreeMap::new(),
+            keys: BTreeMap::new(),
             ended: VecDeque::new(),
             ended_with_key: VecDeque::new(),
             closed_keys: VecDeque::new(),
--- a/crates/eelgrassramp/src/ledger/limits.rs
+++ b/crates/eelgrassramp/src/ledger/limits.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// Bounds of one ledger's memory.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Limits {
     /// Time for which an ended request is remembered, and the greatest age of a clock mark.
     pub retention: Duration,
