Sidecar: loading waits for running work, grace for replay, hostile input

Cause: a request accepted for one version could be run by the next one while the engine loaded it; a stop closed the sidecar before an entry with a silent connection could ask again; a deadline near the end of the number range overflowed the timer's clock. Change: loading refuses new work, flushes the queue as not run and waits for running requests; a stop waits two seconds after the last answer; deadlines are capped at an hour; the incarnation is drawn from the system even in seeded runs; the engine's own version is adopted.

--- a/crates/eelgrassramp/src/sidecar/check.rs
+++ b/crates/eelgrassramp/src/sidecar/check.rs
@@ -36,7 +36,7 @@
     }
 
     fn check_served(&self, state: &State, msg: &Dispatch) -> Result<(), Refusal> {
-        if msg.pool == self.settings.pool && msg.version == state.version {
+        if msg.pool == self.settings.pool && msg.version == state.version && !state.is_loading {
             return Ok(());
         }
         let detail = format!(
--- a/crates/eelgrassramp/src/sidecar/order.rs
+++ b/crates/eelgrassramp/src/sidecar/order.rs
@@ -1,6 +1,7 @@
 //! Orders to the engine, fenced.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Deserialize;
 use slog::info;
@@ -17,6 +18,11 @@
 
 use super::state::Shared;
 
+/// Longest wait for running requests before a version is loaded.
+const WORK_TIMEOUT: Duration = Duration::from_secs(30);
+
+const WORK_PERIOD: Duration = Duration::from_millis(25);
+
 /// Carries out an order unless a later holder of the lease has been heard of.
 ///
 /// Orders run one at a time, so that an engine that ignores fencing tokens never works on the
@@ -83,24 +89,68 @@
 }
 
 async fn perform(shared: &Arc<Shared>, msg: &EngineOrder) -> Result<()> {
-    if msg.action == EngineAction::Fence {
-        return Ok(());
-    }
-    let ordered = shared.engine.order(msg.action.clone(), msg.fence).await;
-    let serving = read_back(shared, ordered.as_ref().ok()).await?;
-    info!(shared.cx.log, "engine was given an order";
-        "fence" => msg.fence.0, "version" => %serving, "done" => ordered.is_ok());
-    shared.lock().version = serving.clone();
-    ordered?;
     match &msg.action {
-        EngineAction::Load(wanted) if *wanted != serving => {
+        EngineAction::Fence => Ok(()),
+        EngineAction::Role(_) => give(shared, msg).await.map(drop),
+        EngineAction::Load(wanted) => {
+            let serving = load(shared, msg).await?;
+            if serving == *wanted {
+                return Ok(());
+            }
             let detail = format!("engine serves {serving:?} after an order to load {wanted:?}");
             Err(Error::new(Kind::EndpointFailed, detail))
         }
-        _ => Ok(()),
     }
 }
 
+/// Lets the engine load a version while it works on nothing, so that no request accepted for
+/// one version is run by another.
+async fn load(shared: &Arc<Shared>, msg: &EngineOrder) -> Result<VersionName> {
+    stop_work(shared);
+    let outcome = match work_ended(shared).await {
+        Ok(()) => give(shared, msg).await,
+        Err(e) => Err(e),
+    };
+    shared.lock().is_loading = false;
+    outcome
+}
+
+fn stop_work(shared: &Arc<Shared>) {
+    let mut state = shared.lock();
+    state.is_loading = true;
+    let actions = state.scheduler.flush(shared.now(), Kind::NotServed);
+    shared.perform(&mut state, actions);
+}
+
+async fn work_ended(shared: &Arc<Shared>) -> Result<()> {
+    let timers = &shared.cx.timers;
+    let ended = async {
+        while shared.lock().scheduler.running() > 0 {
+            timers.after(WORK_PERIOD).await;
+        }
+    };
+    timers.limit(WORK_TIMEOUT, ended).await.ok_or_else(|| {
+        let detail = format!(
+            "requests still run after {} s, so no version is loaded",
+            WORK_TIMEOUT.as_secs()
+        );
+        Error::new(Kind::Overloaded, detail)
+    })
+}
+
+/// Gives the engine an order and reads back which version it serves then.
+async fn give(shared: &Arc<Shared>, msg: &EngineOrder) -> Result<VersionName> {
+    let ordered = shared.engine.order(msg.action.clone(), msg.fence).await;
+    let serving = read_back(shared, ordered.as_ref().ok()).await?;
+    info!(shared.cx.log, "engine was given an order";
+        "fence" => msg.fence.0, "version" => %serving, "done" => ordered.is_ok());
+    let mut state = shared.lock();
+    state.version = serving.clone();
+    state.last_order = Some(shared.now());
+    drop(state);
+    ordered.map(|_| serving)
+}
+
 /// Asks the engine which version it serves now; its report of load lags, so an order's own
 /// answer goes before it.
 async fn read_back(shared: &Arc<Shared>, answered: Option<&VersionName>) -> Result<VersionName> {
--- a/crates/eelgrassramp/src/sidecar/run.rs
+++ b/crates/eelgrassramp/src/sidecar/run.rs
@@ -186,6 +186,7 @@
         self.count(&mut state, time, &end, ending);
         state.ledger.end(now, request, ending);
         self.answer.end(end);
+        state.last_end = Some(now);
         if !matches!(ending, Ending::NotRun(_)) {
             state.keep_for_replay(request);
         }
--- a/crates/eelgrassramp/src/sidecar/scheduler.rs
+++ b/crates/eelgrassramp/src/sidecar/scheduler.rs
@@ -115,6 +115,16 @@
         actions
     }
 
+    /// Refuses everything that waits.
+    pub fn flush(&mut self, now: Monotonic, kind: Kind) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while let Some(entry) = self.queue.pop(now) {
+            actions.push(refuse(&entry, kind));
+        }
+        actions.extend(self.expired(now));
+        actions
+    }
+
     /// Takes a waiting request out; tells whether it was waiting.
     pub fn remove(&mut self, request: RequestId) -> bool {
         self.queue.remove(request).is_some()
--- a/crates/eelgrassramp/src/sidecar/serve.rs
+++ b/crates/eelgrassramp/src/sidecar/serve.rs
@@ -37,9 +37,6 @@
 const MAX_HTTP2_STREAMS: u32 = 1024;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Time that connections get to end after the last request has.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Runs a sidecar beside the endpoint that `settings` names, until `cx.stop` is cancelled and
 /// all requests in progress have ended.
 ///
@@ -93,7 +90,8 @@
         );
         Err(Error::new(Kind::Internal, detail))
     };
-    cx.timers.limit(CLOSE_TIMEOUT, connections.shutdown()).await;
+    // Slow readers get their answers to the end.
+    cx.timers.limit(drain_timeout, connections.shutdown()).await;
     outcome
 }
 
--- a/crates/eelgrassramp/src/sidecar/service.rs
+++ b/crates/eelgrassramp/src/sidecar/service.rs
@@ -4,7 +4,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Duration;
 
+use rand::rngs::StdRng;
 use slog::info;
 
 use crate::admission::Ticket;
@@ -57,6 +59,12 @@
 use super::state::Stop;
 use super::upkeep;
 
+/// Time after an answer's end within which an entry whose connection went silent asks again.
+const REPLAY_GRACE: Duration = Duration::from_secs(2);
+
+/// Longest time that any request gets.
+const MAX_DEADLINE: Duration = Duration::from_hours(1);
+
 /// One life of a sidecar; clones share it.
 ///
 /// Its methods mirror [`SidecarLink`](crate::link::SidecarLink), so an entry in the same
@@ -78,7 +86,7 @@
         store: Option<Arc<dyn ObjectApi>>,
         cx: Context,
     ) -> Self {
-        let state = new_state(&settings, &cx);
+        let state = new_state(&settings);
         let shared = Arc::new(Shared {
             engine,
             store,
@@ -254,13 +262,19 @@
         state.scheduler.queued() + state.scheduler.running()
     }
 
-    /// Waits until no request waits or runs.
+    /// Waits until no request waits or runs, and until entries have had the time to ask again
+    /// for the last answer.
     pub async fn idle(&self) {
-        while self.in_progress() > 0 {
+        while self.in_progress() > 0 || self.has_fresh_answer() {
             self.shared.cx.timers.after(upkeep::TICK).await;
         }
     }
 
+    fn has_fresh_answer(&self) -> bool {
+        let last_end = self.shared.lock().last_end;
+        last_end.is_some_and(|at| self.shared.now().since(at) < REPLAY_GRACE)
+    }
+
     fn frames_of(&self, answer: Option<Answer>, offset: u64) -> FrameStream {
         if let Some(answer) = answer {
             return frames::frames(Arc::clone(&self.shared), &answer, offset);
@@ -349,7 +363,7 @@
             tier: msg.tier,
             account: msg.account.clone(),
             weight: weight.unwrap_or(1),
-            deadline: now + msg.deadline(),
+            deadline: now + msg.deadline().min(MAX_DEADLINE),
             cost: cost_of(msg.work),
             non_idempotent: msg.non_idempotent,
         }
@@ -377,8 +391,9 @@
     }
 }
 
-fn new_state(settings: &Settings, cx: &Context) -> State {
-    let incarnation = Incarnation::random(&mut cx.rng("incarnation"));
+fn new_state(settings: &Settings) -> State {
+    // Drawn from the system even in repeatable runs, since a restart must never reuse it.
+    let incarnation = Incarnation::random(&mut rand::make_rng::<StdRng>());
     let started_unix_ms = u64::try_from(jiff::Timestamp::now().as_millisecond()).unwrap_or(0);
     let capacity = Capacity {
         slots: settings.slots,
@@ -398,6 +413,9 @@
         version: settings.version.clone(),
         fence: Fence::default(),
         is_leaving: false,
+        is_loading: false,
+        last_order: None,
+        last_end: None,
         noted_tables: crate::id::TableVersion::default(),
     }
 }
--- a/crates/eelgrassramp/src/sidecar/state.rs
+++ b/crates/eelgrassramp/src/sidecar/state.rs
@@ -72,6 +72,12 @@
     pub(super) fence: Fence,
     /// Whether an entry has said that this endpoint is leaving.
     pub(super) is_leaving: bool,
+    /// Whether the engine is changing its version, so that it can be given nothing.
+    pub(super) is_loading: bool,
+    /// When the engine was last given an order.
+    pub(super) last_order: Option<Monotonic>,
+    /// When the last answer ended.
+    pub(super) last_end: Option<Monotonic>,
     /// The newest tables that anyone has named, though they may not be here yet.
     pub(super) noted_tables: TableVersion,
 }
--- a/crates/eelgrassramp/src/sidecar/upkeep.rs
+++ b/crates/eelgrassramp/src/sidecar/upkeep.rs
@@ -5,8 +5,11 @@
 use std::time::Duration;
 
 use slog::debug;
+use slog::info;
 use slog::warn;
 
+use crate::engine::EngineLoad;
+use crate::error::Result;
 use crate::id::TableVersion;
 use crate::store::Object;
 use crate::tables;
@@ -21,6 +24,9 @@
 /// Period of questions to the engine.
 const POLL_PERIOD: Duration = Duration::from_millis(500);
 
+/// Greatest lag of the engine's report, within which its version may be outdated.
+const MAX_REPORT_LAG: Duration = Duration::from_secs(10);
+
 /// Period at which old ledger entries are dropped.
 const EXPIRY_PERIOD: Duration = Duration::from_secs(1);
 
@@ -70,13 +76,14 @@
 
 async fn poll(shared: Weak<Shared>, mut ticks: Ticks) {
     loop {
-        ticks.tick().await;
         let Some(shared) = shared.upgrade() else {
             return;
         };
         if let Err(e) = ask_engine(&shared).await {
             debug!(shared.cx.log, "engine not asked"; "error" => %e);
         }
+        drop(shared);
+        ticks.tick().await;
     }
 }
 
@@ -115,16 +122,27 @@
 }
 
 /// Reads the engine's load and cache events.
-async fn ask_engine(shared: &Arc<Shared>) -> crate::error::Result<()> {
+async fn ask_engine(shared: &Arc<Shared>) -> Result<()> {
     let load = shared.engine.load().await?;
-    if load.slots > 0 {
-        let now = shared.now();
-        let mut state = shared.lock();
-        let actions = state.scheduler.set_slots(now, load.slots);
-        shared.perform(&mut state, actions);
-    }
+    take_load(shared, &load);
     let seq = shared.lock().cache.seq();
     let update = shared.engine.cache_events(seq).await?;
     shared.lock().cache.apply(update);
     Ok(())
 }
+
+fn take_load(shared: &Arc<Shared>, load: &EngineLoad) {
+    let now = shared.now();
+    let mut state = shared.lock();
+    let is_outdated = state
+        .last_order
+        .is_some_and(|at| now.since(at) < MAX_REPORT_LAG);
+    if !is_outdated && !state.is_loading && load.version != state.version {
+        info!(shared.cx.log, "engine serves another version"; "version" => %load.version);
+        state.version = load.version.clone();
+    }
+    if load.slots > 0 {
+        let actions = state.scheduler.set_slots(now, load.slots);
+        shared.perform(&mut state, actions);
+    }
+}
--- a/crates/eelgrassramp/tests/sidecar/http.rs
+++ b/crates/eelgrassramp/tests/sidecar/http.rs
@@ -27,14 +27,14 @@
 use super::fixture::message;
 use super::fixture::settings;
 
-struct Server {
-    address: SocketAddr,
+pub struct Server {
+    pub address: SocketAddr,
     engine: Arc<FakeEngine>,
     cx: eelgrassramp::Context,
     task: JoinHandle<Result<()>>,
 }
 
-async fn server(script: Script) -> Server {
+pub async fn server(script: Script) -> Server {
     let cx = eelgrassramp::Context::quiet(1);
     let engine = FakeEngine::new(script);
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
@@ -54,7 +54,7 @@
     }
 }
 
-async fn post(to: SocketAddr, path: &str, body: Bytes) -> (u16, Bytes) {
+pub async fn post(to: SocketAddr, path: &str, body: Bytes) -> (u16, Bytes) {
     let tcp = TcpStream::connect(to).await.expect("connect");
     let (mut tx, connection) = http1::handshake(TokioIo::new(tcp))
         .await
@@ -101,6 +101,8 @@
     server.engine.release(1);
 
     let (status, body) = answer.await.expect("answer");
+    // The grace for entries that ask again passes at once.
+    tokio::time::pause();
     expect_that!(status, eq(200));
     expect_that!(
         last_frame(&body),
