Sidecar verifies that it is the home of an idempotency key

Cause: a dispatch for a key could reach an endpoint that is not the key's home by the tables in force, and a second run there would not be noticed. Change: by its own tables, of the same version as the dispatch, the sidecar refuses as not run a key whose home it is not, and a non-idempotent one whose other possible homes were not closed. The fingerprint of a call and the stored lease are read by the code that exists.

--- a/crates/eelgrassramp/src/ledger.rs
+++ b/crates/eelgrassramp/src/ledger.rs
@@ -3,12 +3,10 @@
 //! See `docs/design/ledger.md`.
 
 mod book;
-mod fingerprint;
 mod limits;
 mod request;
 
 pub use self::book::Ledger;
-pub use self::fingerprint::fingerprint;
 pub use self::limits::Limits;
 pub use self::request::Claim;
 pub use self::request::Ending;
--- a/crates/eelgrassramp/src/sidecar/check.rs
+++ b/crates/eelgrassramp/src/sidecar/check.rs
@@ -1,7 +1,19 @@
 //! Which dispatches an endpoint takes, apart from what its ledger says.
 
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use jiff::Timestamp;
+
 use crate::error::Kind;
+use crate::id::RequestId;
+use crate::key;
 use crate::ledger::Refusal;
+use crate::name::EndpointName;
+use crate::name::VersionName;
+use crate::tables::Endpoint;
+use crate::tables::FormerMembers;
+use crate::tables::Pool;
 use crate::wire::Dispatch;
 
 use super::state::Shared;
@@ -16,6 +28,7 @@
         }
         self.check_tables(msg)?;
         self.check_served(state, msg)?;
+        self.check_home(msg)?;
         if state
             .brakes
             .stops(&msg.pool, &msg.version, state.move_tables())
@@ -45,4 +58,69 @@
         );
         Err(Refusal::not_run(Kind::NotServed, detail))
     }
+
+    /// Checks that no other endpoint may run a request with this idempotency key.
+    ///
+    /// When the entry follows newer tables, the entry alone can tell; what it says counts.
+    fn check_home(&self, msg: &Dispatch) -> Result<(), Refusal> {
+        let tables = self.tables.get();
+        let (Some(key), Some(pool)) = (msg.key, tables.pools.get(&msg.pool)) else {
+            return Ok(());
+        };
+        if msg.tables != tables.version {
+            return Ok(());
+        }
+        let own = &self.settings.endpoint;
+        if home_of(pool, &msg.version, key, |e| !e.leaving) != Some(own) {
+            let detail = format!("endpoint {own:?} is not the home of the key");
+            return Err(Refusal::not_run(Kind::NotServed, detail));
+        }
+        let is_closed_elsewhere = msg.former_homes_closed >= Some(tables.version);
+        if msg.non_idempotent && !is_closed_elsewhere && self.has_other_homes(pool, key) {
+            let detail = "the key was not closed at its former homes";
+            return Err(Refusal::not_run(Kind::NotServed, detail));
+        }
+        Ok(())
+    }
+
+    /// Tells whether another endpoint is or was the home of the key for some entry.
+    fn has_other_homes(&self, pool: &Pool, key: RequestId) -> bool {
+        let own = &self.settings.endpoint;
+        let versions: BTreeSet<_> = pool.endpoints.values().map(|e| &e.version).collect();
+        let is_other = |home: Option<&EndpointName>| home.is_some_and(|home| home != own);
+        let is_other_now = versions.into_iter().any(|version| {
+            is_other(home_of(pool, version, key, |_| true))
+                || is_other(home_of(pool, version, key, |e| !e.leaving))
+        });
+        is_other_now
+            || pool
+                .former
+                .iter()
+                .filter(|f| self.may_remember(f))
+                .any(|f| f.sidecars.keys().any(|name| name != own))
+    }
+
+    /// Tells whether an earlier set of endpoints may still remember keys.
+    fn may_remember(&self, former: &FormerMembers) -> bool {
+        let age = Timestamp::now().duration_since(former.until);
+        let limits = self.settings.ledger_limits();
+        // An edit dated in the future, by a clock ahead of this one, is recent.
+        Duration::try_from(age).map_or(true, |age| {
+            age <= limits.key_retention + limits.clock_margin
+        })
+    }
+}
+
+fn home_of<'a>(
+    pool: &'a Pool,
+    version: &VersionName,
+    key: RequestId,
+    is_member: impl Fn(&Endpoint) -> bool,
+) -> Option<&'a EndpointName> {
+    let members = pool
+        .endpoints
+        .values()
+        .filter(|e| e.version == *version && is_member(e))
+        .map(|e| &e.name);
+    key::home(key, members)
 }
--- a/crates/eelgrassramp/src/sidecar/order.rs
+++ b/crates/eelgrassramp/src/sidecar/order.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::Deserialize;
 use slog::info;
 use slog::warn;
 
@@ -11,6 +10,8 @@
 use crate::error::Kind;
 use crate::error::Result;
 use crate::id::FencingToken;
+use crate::lease;
+use crate::lease::LeaseObject;
 use crate::name::VersionName;
 use crate::wire::EngineAction;
 use crate::wire::EngineOrder;
@@ -160,23 +161,14 @@
     }
 }
 
-/// The part of a stored lease that counts here.
-#[derive(Deserialize)]
-struct LeaseToken {
-    fence: FencingToken,
-}
-
 /// Reads the token of the pool's lease; `None` without a store or before the first lease.
 async fn lease_token(shared: &Shared) -> Result<Option<FencingToken>> {
     let Some(store) = &shared.store else {
         return Ok(None);
     };
-    let key = format!("leases/{}", shared.settings.pool);
-    let object = store.get(&key).await?;
+    let object = store.get(&lease::key(&shared.settings.pool)).await?;
     if object.version.0 == 0 {
         return Ok(None);
     }
-    let lease: LeaseToken = serde_json::from_slice(&object.value)
-        .map_err(|e| Error::with_source(Kind::Malformed, format!("object {key:?}"), e))?;
-    Ok(Some(lease.fence))
+    Ok(Some(LeaseObject::from_bytes(&object.value)?.fence))
 }
--- a/crates/eelgrassramp/src/sidecar/service.rs
+++ b/crates/eelgrassramp/src/sidecar/service.rs
@@ -16,6 +16,7 @@
 use crate::error::Result;
 use crate::id::Incarnation;
 use crate::id::RequestId;
+use crate::key;
 use crate::ledger::Claim;
 use crate::ledger::KeyClaim;
 use crate::ledger::Ledger;
@@ -424,7 +425,7 @@
     let key = msg.key.map(|key| KeyClaim {
         key,
         made_ms: msg.key_time_ms,
-        fingerprint: fingerprint(msg),
+        fingerprint: key::body_hash(&msg.call.method, &msg.call.path, &msg.call.body),
         non_idempotent: msg.non_idempotent,
     });
     Claim {
@@ -436,10 +437,6 @@
     }
 }
 
-fn fingerprint(msg: &Dispatch) -> u64 {
-    crate::ledger::fingerprint(&msg.call)
-}
-
 /// Lets a request that shares the run of `first` share its answer too.
 fn share_answer(state: &mut State, request: RequestId, first: RequestId) -> Option<Answer> {
     let job = state.jobs.get(&first)?;
