Open-loop load with tiers, accounts, shared prefixes, long tails and bursts

Experiments need arrivals that do not wait for answers and a judgement of each answer from the caller's side. Engines now end an answer at a length that the request hides from the scheduler.

--- a/crates/standins/src/engine/model.rs
+++ b/crates/standins/src/engine/model.rs
@@ -197,7 +197,7 @@
             path: call.path,
             blocks: prefix_blocks(&prompt),
             prompt_tokens: tokens(&prompt),
-            output_tokens: body.max_tokens.unwrap_or(default_tokens).max(1),
+            output_tokens: body.output_tokens(default_tokens),
             model: body.model,
             generated: 0,
             cached_tokens: 0,
--- a/crates/standins/src/engine/prompt.rs
+++ b/crates/standins/src/engine/prompt.rs
@@ -23,7 +23,9 @@
     messages: Vec<Message>,
     #[serde(default)]
     pub(super) stream: bool,
-    pub(super) max_tokens: Option<u32>,
+    max_tokens: Option<u32>,
+    /// The length at which this answer happens to end, which only the engine knows.
+    standin_output_tokens: Option<u32>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -40,9 +42,16 @@
     /// Returns the text whose blocks the prefix cache holds.
     pub(super) fn prompt(&self) -> String {
         let contents = self.messages.iter().map(|m| m.content.as_str());
-        let parts: Vec<&str> = contents.chain([self.prompt.as_str()]).collect();
+        let parts: Vec<&str> = [self.prompt.as_str()].into_iter().chain(contents).collect();
         parts.concat()
     }
+
+    /// Returns the number of tokens to generate.
+    pub(super) fn output_tokens(&self, default: u32) -> u32 {
+        let limit = self.max_tokens.unwrap_or(u32::MAX);
+        let natural = self.standin_output_tokens.or(self.max_tokens);
+        natural.unwrap_or(default).clamp(1, limit.max(1))
+    }
 }
 
 /// Returns the hash chain of the whole blocks of `prompt`.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod engine;
 pub mod fault;
 pub mod http;
+pub mod load;
 pub mod platform;
 pub mod service;
--- /dev/null
+++ b/crates/standins/src/load/http.rs
@@ -0,0 +1,101 @@
+//! Calls over HTTP/1.1 with pooled connections.
+
+use std::net::SocketAddr;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use bytes::BytesMut;
+use eelgrassramp::Monotonic;
+use eelgrassramp::Timers;
+use eelgrassramp::num;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+
+use super::target::CallRequest;
+use super::target::Reply;
+use super::target::Target;
+
+/// Spreads calls over addresses in turn, as a balancer does.
+#[derive(Debug)]
+pub struct HttpTarget {
+    addresses: Vec<SocketAddr>,
+    client: Client<HttpConnector, Full<Bytes>>,
+    timers: Timers,
+}
+
+impl HttpTarget {
+    /// Creates a target of at least one address.
+    #[must_use]
+    pub fn new(addresses: Vec<SocketAddr>, timers: Timers) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        Self {
+            addresses,
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            timers,
+        }
+    }
+
+    fn request(&self, req: CallRequest) -> Result<Request<Full<Bytes>>, http::Error> {
+        let i = num::length(req.number) % self.addresses.len();
+        let uri = format!("http://{}{}", self.addresses[i], req.path);
+        let mut builder = Request::post(uri).header("content-type", "application/json");
+        for (name, value) in req.headers {
+            builder = builder.header(name, value);
+        }
+        builder.body(Full::new(req.body))
+    }
+
+    async fn read(&self, start: Monotonic, res: Response<Incoming>) -> Reply {
+        let header = |name: &str| {
+            let value = res.headers().get(name)?;
+            value.to_str().ok().map(str::to_owned)
+        };
+        let mut reply = Reply {
+            status: res.status().as_u16(),
+            ran: header("eelgrassramp-ran"),
+            request: header("eelgrassramp-request"),
+            ..Reply::none()
+        };
+        let mut body = res.into_body();
+        let mut buf = BytesMut::new();
+        loop {
+            match body.frame().await {
+                None => {
+                    reply.whole = true;
+                    break;
+                }
+                Some(Err(_)) => break,
+                Some(Ok(frame)) => {
+                    let passed = self.timers.now().since(start);
+                    reply.first_byte.get_or_insert(passed);
+                    if let Some(data) = frame.data_ref() {
+                        buf.extend_from_slice(data);
+                    }
+                }
+            }
+        }
+        reply.body = buf.freeze();
+        reply
+    }
+}
+
+#[async_trait]
+impl Target for HttpTarget {
+    async fn call(&self, req: CallRequest) -> Reply {
+        let start = self.timers.now();
+        let Ok(req) = self.request(req) else {
+            return Reply::none();
+        };
+        match self.client.request(req).await {
+            Ok(res) => self.read(start, res).await,
+            Err(_) => Reply::none(),
+        }
+    }
+}
