--- /dev/null
+++ b/crates/standins/src/bin/eelgrassramp-bench.rs
@@ -0,0 +1,7 @@
+//! The load and experiment tool.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    eelgrassramp_standins::cli::main()
+}
--- /dev/null
+++ b/crates/standins/src/cli/demo.rs
@@ -0,0 +1,55 @@
+//! Runs the demonstration.
+
+use std::path::PathBuf;
+
+use clap::ArgMatches;
+use eelgrassramp::Context;
+use eelgrassramp::Error;
+use eelgrassramp::Kind;
+use eelgrassramp::Result;
+use eelgrassramp::Timers;
+use eelgrassramp::log;
+use eelgrassramp::metrics;
+use tokio_util::sync::CancellationToken;
+
+use super::experiments::DEMO;
+use crate::demo;
+use crate::experiment::Experiment;
+
+/// Runs the demonstration; tells whether all promises were kept.
+pub(super) fn demo(args: &ArgMatches) -> Result<bool> {
+    let experiment = Experiment::from_str(DEMO, "demo.jsonc")?;
+    let options = demo::Options {
+        bad_version: args.get_flag("bad-version"),
+    };
+    let log = if args.get_flag("logs") {
+        log::to_stderr(log::Verbosity::Info, "eelgrassramp-bench")
+    } else {
+        log::discard()
+    };
+    let runtime = tokio::runtime::Runtime::new()
+        .map_err(|e| Error::with_source(Kind::Internal, "start runtime", e))?;
+    let report = runtime.block_on(async {
+        let cx = Context {
+            log,
+            metrics: metrics::discard(),
+            timers: Timers::start(),
+            stop: CancellationToken::new(),
+            seed: Some(experiment.seed),
+        };
+        demo::run(&experiment, options, cx).await
+    })?;
+    println!("{report}");
+    if let Some(path) = args.get_one::<PathBuf>("json") {
+        write(path, &report)?;
+    }
+    Ok(report.is_good())
+}
+
+fn write(path: &PathBuf, report: &demo::Report) -> Result<()> {
+    let json = serde_json::to_vec_pretty(report)
+        .map_err(|e| Error::with_source(Kind::Internal, "encode report", e))?;
+    std::fs::write(path, json).map_err(|e| {
+        Error::with_source(Kind::InvalidSettings, format!("file {}", path.display()), e)
+    })
+}
--- /dev/null
+++ b/crates/standins/src/cli/experiments.rs
@@ -0,0 +1,111 @@
+//! Runs experiments and writes their results.
+
+use std::io::Write;
+use std::path::Path;
+use std::path::PathBuf;
+
+use clap::ArgMatches;
+use eelgrassramp::Error;
+use eelgrassramp::Kind;
+use eelgrassramp::Result;
+
+use crate::experiment;
+use crate::experiment::CaseResult;
+use crate::experiment::Experiment;
+
+/// An experiment that comes with this program.
+#[derive(Debug)]
+pub(super) struct Embedded {
+    pub(super) name: &'static str,
+    pub(super) text: &'static str,
+}
+
+/// The deployment and the traffic of the demonstration.
+pub(super) const DEMO: &str = include_str!("../../experiments/demo.jsonc");
+
+pub(super) const EMBEDDED: &[Embedded] = &[
+    Embedded {
+        name: "overload",
+        text: include_str!("../../experiments/overload.jsonc"),
+    },
+    Embedded {
+        name: "fairness",
+        text: include_str!("../../experiments/fairness.jsonc"),
+    },
+    Embedded {
+        name: "smoke",
+        text: include_str!("../../experiments/smoke.jsonc"),
+    },
+];
+
+/// Runs an experiment; tells whether all promises were kept.
+pub(super) fn run_experiment(
+    name: &str,
+    mut experiment: Experiment,
+    args: &ArgMatches,
+) -> Result<bool> {
+    if let Some(seed) = args.get_one("seed") {
+        experiment.seed = *seed;
+    }
+    if let Some(duration) = args.get_one("duration") {
+        experiment.duration_s = *duration;
+    }
+    let threads: usize = *args.get_one("threads").expect("it has a default");
+    let results = experiment::run(&experiment, threads, progress)?;
+    println!("{}", experiment::table(&results));
+    print_accounts(&results);
+    if let Some(dir) = args.get_one::<PathBuf>("out") {
+        write(dir, name, &results)?;
+    }
+    Ok(results
+        .iter()
+        .flat_map(|r| &r.checks)
+        .all(|c| c.violations == 0))
+}
+
+fn progress(result: &CaseResult) {
+    let case = &result.case;
+    let line = format!(
+        "{} at {}: {:.1} good/s of {:.1}, {:.0} s simulated in {:.1} s",
+        case.scheduling.as_str(),
+        case.load,
+        result.good_per_second,
+        result.per_second,
+        result.simulated_s,
+        result.took_s,
+    );
+    // A progress line that cannot be shown is no reason to stop.
+    let _shown = writeln!(std::io::stderr(), "{line}");
+}
+
+fn print_accounts(results: &[CaseResult]) {
+    for result in results {
+        let case = &result.case;
+        for (account, row) in &result.summary.accounts {
+            println!(
+                "{:<18} {:<5} silent={:?} {account}: goodput {:.4}, total p50/p99 {:.0}/{:.0} ms",
+                case.scheduling.as_str(),
+                case.load,
+                case.silent,
+                row.goodput(),
+                row.total.p50_ms,
+                row.total.p99_ms,
+            );
+        }
+    }
+}
+
+fn write(dir: &Path, name: &str, results: &[CaseResult]) -> Result<()> {
+    let fail = |e: std::io::Error| {
+        Error::with_source(
+            Kind::InvalidSettings,
+            format!("directory {}", dir.display()),
+            e,
+        )
+    };
+    std::fs::create_dir_all(dir).map_err(fail)?;
+    let json = serde_json::to_vec_pretty(results)
+        .map_err(|e| Error::with_source(Kind::Internal, "encode results", e))?;
+    std::fs::write(dir.join(format!("{name}.json")), json).map_err(fail)?;
+    experiment::plot(results, &dir.join(format!("{name}.svg")))
+}
--- /dev/null
+++ b/crates/standins/src/cluster.rs
@@ -0,0 +1,18 @@
+//! A whole deployment in one process: platform, endpoints, sidecars and entries.
+
+mod in_process;
+mod link;
+mod loopback;
+mod settings;
+mod spec;
+mod tables;
+
+pub use self::in_process::InProcess;
+pub use self::link::LocalLink;
+pub use self::loopback::Loopback;
+pub use self::spec::ClusterSpec;
+pub use self::spec::EngineGroup;
+pub use self::spec::EngineSpec;
+pub use self::spec::Member;
+pub use self::spec::Scheduling;
+pub use self::tables::document;
--- /dev/null
+++ b/crates/standins/src/cluster/in_process.rs
@@ -0,0 +1,225 @@
+//! A deployment without connections, which runs under a paused clock.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::BytesMut;
+use eelgrassramp::Context;
+use eelgrassramp::ObjectVersion;
+use eelgrassramp::Result;
+use eelgrassramp::engine::Engine;
+use eelgrassramp::entry;
+use eelgrassramp::link::SidecarLink;
+use eelgrassramp::num;
+use eelgrassramp::sidecar;
+use eelgrassramp::store::ObjectApi;
+use eelgrassramp::tables;
+use eelgrassramp::tables::Current;
+use eelgrassramp::tables::Document;
+use eelgrassramp::wire::Header;
+use futures_util::StreamExt;
+
+use super::link::LocalLink;
+use super::settings::entry_settings;
+use super::settings::sidecar_settings;
+use super::settings::unused_address;
+use super::spec::ClusterSpec;
+use super::spec::Member;
+use super::spec::Scheduling;
+use super::tables::document;
+use crate::engine::ModelEngine;
+use crate::fault::Faults;
+use crate::fault::FaultyLink;
+use crate::load::CallRequest;
+use crate::load::ClassKind;
+use crate::load::Reply;
+use crate::load::Target;
+use crate::load::Traffic;
+use crate::platform::Platform;
+use crate::platform::Settings as PlatformSettings;
+use crate::service::OrderService;
+use crate::service::Settings as ServiceSettings;
+
+/// All parts of a running deployment; it stops when dropped.
+#[derive(Debug)]
+pub struct InProcess {
+    /// What all parts share; its clock is the deployment's.
+    pub cx: Context,
+    /// The platform.
+    pub platform: Arc<Platform>,
+    /// The model engines.
+    pub engines: Vec<Arc<ModelEngine>>,
+    /// The plain services.
+    pub services: Vec<Arc<OrderService>>,
+    /// The endpoints with the addresses of their sidecars.
+    pub members: Vec<Member>,
+    /// The link to the sidecars without its faults.
+    pub link: Arc<LocalLink>,
+    /// The faults between entries and sidecars.
+    pub faults: Arc<Faults>,
+    /// The entries.
+    pub entries: Vec<entry::Service>,
+}
+
+impl Drop for InProcess {
+    fn drop(&mut self) {
+        self.cx.stop.cancel();
+    }
+}
+
+impl InProcess {
+    /// Starts a deployment with the tables that fit it and waits until they are in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the platform or of a part that refuses its settings.
+    pub async fn start(
+        spec: &ClusterSpec,
+        traffic: &Traffic,
+        scheduling: Scheduling,
+        seed: u64,
+    ) -> Result<Self> {
+        let cx = Context::quiet(seed);
+        let faults = Faults::new(seed);
+        let mut cluster = Self {
+            platform: Platform::new(PlatformSettings::default(), cx.timers.clone()),
+            engines: Vec::new(),
+            services: Vec::new(),
+            members: spec.members(),
+            link: LocalLink::new(),
+            faults,
+            entries: Vec::new(),
+            cx,
+        };
+        for (i, member) in cluster.members.clone().iter().enumerate() {
+            cluster.start_member(spec, member, seed + num::count(i))?;
+        }
+        for i in 0..spec.entries {
+            cluster.start_entry(i, scheduling)?;
+        }
+        let document = document(&cluster.members, traffic, scheduling);
+        cluster.apply(&document).await?;
+        cluster.ready().await;
+        Ok(cluster)
+    }
+
+    /// Writes tables to the platform.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the platform.
+    pub async fn apply(&self, document: &Document) -> Result<ObjectVersion> {
+        let client = self.platform.client("operator");
+        let current = client.get(tables::OBJECT_KEY).await?;
+        let value = document.to_bytes()?;
+        client.put(tables::OBJECT_KEY, current.version, value).await
+    }
+
+    /// Waits until all entries can serve.
+    pub async fn ready(&self) {
+        while !self.entries.iter().all(entry::Service::is_ready) {
+            self.cx.timers.after(Duration::from_millis(50)).await;
+        }
+    }
+
+    fn start_member(&mut self, spec: &ClusterSpec, member: &Member, seed: u64) -> Result<()> {
+        let timers = self.cx.timers.clone();
+        let engine: Arc<dyn Engine> = match member.kind {
+            ClassKind::Model => {
+                let settings = spec.engine_settings(member, seed);
+                let engine = ModelEngine::start(settings, timers);
+                self.engines.push(Arc::clone(&engine));
+                engine
+            }
+            ClassKind::Charge => {
+                let settings = ServiceSettings {
+                    latency: Duration::from_millis(spec.service_latency_ms),
+                    slots: spec.service_slots,
+                    seed,
+                    ..ServiceSettings::default()
+                };
+                let service = OrderService::new(settings, timers);
+                self.services.push(Arc::clone(&service));
+                service
+            }
+        };
+        let settings = sidecar_settings(spec, member, unused_address(), None)?;
+        let cx = Context {
+            seed: Some(seed),
+            ..self.cx.clone()
+        };
+        let store: Arc<dyn ObjectApi> = self.platform.client(&format!("sidecar {}", member.name));
+        let service = sidecar::Service::start(settings, engine, Some(store), cx);
+        self.link.insert(member.sidecar, service);
+        Ok(())
+    }
+
+    fn start_entry(&mut self, i: usize, scheduling: Scheduling) -> Result<()> {
+        let name = format!("entry-{i}");
+        let unused = unused_address();
+        let settings = entry_settings(&name, unused, unused, scheduling)?;
+        let cx = Context {
+            seed: self
+                .cx
+                .seed
+                .map(|seed| seed.wrapping_mul(31) + num::count(i)),
+            ..self.cx.clone()
+        };
+        let current = Arc::new(Current::default());
+        let api: Arc<dyn ObjectApi> = self.platform.client(&name);
+        tokio::spawn(tables::follow(cx.clone(), api, Arc::clone(&current)));
+        let link: Arc<dyn SidecarLink> = FaultyLink::new(
+            Arc::clone(&self.link) as Arc<dyn SidecarLink>,
+            Arc::clone(&self.faults),
+            cx.timers.clone(),
+        );
+        self.entries
+            .push(entry::Service::new(settings, link, current, cx));
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl Target for InProcess {
+    async fn call(&self, req: CallRequest) -> Reply {
+        let timers = &self.cx.timers;
+        let start = timers.now();
+        let entry = &self.entries[num::length(req.number) % self.entries.len()];
+        let answer = entry.call(to_caller_request(req)).await;
+        let mut reply = Reply {
+            status: answer.head.status,
+            ran: Some(answer.head.ran.as_str().to_owned()),
+            request: Some(answer.head.request.to_string()),
+            ..Reply::none()
+        };
+        let mut stream = answer.body;
+        let mut buf = BytesMut::new();
+        reply.whole = true;
+        while let Some(piece) = stream.next().await {
+            let Ok(piece) = piece else {
+                reply.whole = false;
+                break;
+            };
+            reply.first_byte.get_or_insert(timers.now().since(start));
+            buf.extend_from_slice(&piece);
+        }
+        reply.body = buf.freeze();
+        reply
+    }
+}
+
+fn to_caller_request(req: CallRequest) -> entry::CallerRequest {
+    let headers = req.headers.into_iter();
+    entry::CallerRequest {
+        method: "POST".to_owned(),
+        path: req.path,
+        headers: headers
+            .map(|(name, value)| Header {
+                name: name.to_owned(),
+                value: value.into_bytes(),
+            })
+            .collect(),
+        body: req.body,
+    }
+}
--- /dev/null
+++ b/crates/standins/src/cluster/loopback.rs
@@ -0,0 +1,244 @@
+//! A deployment whose parts talk over real connections on loopback.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassramp::Context;
+use eelgrassramp::Error;
+use eelgrassramp::Kind;
+use eelgrassramp::ObjectVersion;
+use eelgrassramp::Result;
+use eelgrassramp::VersionName;
+use eelgrassramp::engine::HttpEngine;
+use eelgrassramp::entry;
+use eelgrassramp::num;
+use eelgrassramp::sidecar;
+use eelgrassramp::store::HttpObjectApi;
+use eelgrassramp::store::HttpSettings;
+use eelgrassramp::store::ObjectApi;
+use eelgrassramp::tables;
+use eelgrassramp::tables::Document;
+use slog::error;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use super::settings::entry_settings;
+use super::settings::sidecar_settings;
+use super::spec::ClusterSpec;
+use super::spec::Member;
+use super::spec::Scheduling;
+use crate::engine::Badness;
+use crate::engine::ModelEngine;
+use crate::http::Handler;
+use crate::http::serve;
+use crate::load::ClassKind;
+use crate::load::get;
+use crate::platform::Platform;
+use crate::platform::Settings as PlatformSettings;
+use crate::service::OrderService;
+use crate::service::Settings as ServiceSettings;
+
+const READY_POLL: Duration = Duration::from_millis(50);
+
+/// All parts of a running deployment.
+#[derive(Debug)]
+pub struct Loopback {
+    /// What all parts share.
+    pub cx: Context,
+    /// The platform.
+    pub platform: Arc<Platform>,
+    /// Where the platform listens.
+    pub store: SocketAddr,
+    /// The model engines.
+    pub engines: Vec<Arc<ModelEngine>>,
+    /// The plain services.
+    pub services: Vec<Arc<OrderService>>,
+    /// The endpoints with the addresses of their sidecars.
+    pub members: Vec<Member>,
+    /// Where endpoints listen, in the order of `members`.
+    pub endpoints: Vec<SocketAddr>,
+    /// Where entries listen.
+    pub entries: Vec<SocketAddr>,
+    parts: JoinSet<Result<()>>,
+    outside: CancellationToken,
+}
+
+impl Loopback {
+    /// Starts all parts; they have no tables yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::InvalidSettings`] when a part cannot listen or refuses its settings.
+    pub async fn start(
+        spec: &ClusterSpec,
+        bad_versions: &BTreeMap<VersionName, Badness>,
+        seed: u64,
+        cx: Context,
+    ) -> Result<Self> {
+        let outside = CancellationToken::new();
+        let platform = Platform::new(PlatformSettings::default(), cx.timers.clone());
+        let store = listen(Arc::clone(&platform) as Arc<dyn Handler>, &outside).await?;
+        let mut cluster = Self {
+            cx,
+            platform,
+            store,
+            engines: Vec::new(),
+            services: Vec::new(),
+            members: Vec::new(),
+            endpoints: Vec::new(),
+            entries: Vec::new(),
+            parts: JoinSet::new(),
+            outside,
+        };
+        for (i, member) in spec.members().into_iter().enumerate() {
+            let seed = seed + num::count(i);
+            cluster.start_member(spec, member, bad_versions, seed).await?;
+        }
+        for i in 0..spec.entries {
+            cluster.start_entry(i).await?;
+        }
+        Ok(cluster)
+    }
+
+    /// Writes tables to the platform.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the platform.
+    pub async fn apply(&self, document: &Document) -> Result<ObjectVersion> {
+        let settings = HttpSettings::new(self.store, "operator");
+        let api = HttpObjectApi::new(settings, self.cx.timers.clone());
+        let current = api.get(tables::OBJECT_KEY).await?;
+        let value = document.to_bytes()?;
+        api.put(tables::OBJECT_KEY, current.version, value).await
+    }
+
+    /// Waits for at most `limit` until all entries say that they are ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::PoolUnavailable`] when an entry is not ready in time.
+    pub async fn ready(&self, limit: Duration) -> Result<()> {
+        for entry in &self.entries {
+            let ready = async {
+                while !matches!(get(*entry, "/readyz").await, Some((200, _))) {
+                    self.cx.timers.after(READY_POLL).await;
+                }
+            };
+            let waited = self.cx.timers.limit(limit, ready).await;
+            waited.ok_or_else(|| {
+                let detail = format!("entry at {entry} is not ready after {limit:?}");
+                Error::new(Kind::PoolUnavailable, detail)
+            })?;
+        }
+        Ok(())
+    }
+
+    /// Asks all entries and sidecars to stop and waits until they have; then the platform and
+    /// the endpoints stop too.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first error with which a part ended.
+    pub async fn stop(mut self) -> Result<()> {
+        self.cx.stop.cancel();
+        let mut ended = Ok(());
+        while let Some(part) = self.parts.join_next().await {
+            let part = part.map_err(|e| Error::with_source(Kind::Internal, "join part", e));
+            ended = ended.and(part.flatten());
+        }
+        self.outside.cancel();
+        ended
+    }
+
+    async fn start_member(
+        &mut self,
+        spec: &ClusterSpec,
+        mut member: Member,
+        bad_versions: &BTreeMap<VersionName, Badness>,
+        seed: u64,
+    ) -> Result<()> {
+        let handler = self.start_endpoint(spec, &member, bad_versions, seed);
+        let endpoint = listen(handler, &self.outside).await?;
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listener = TcpListener::bind(any).await.map_err(not_bound)?;
+        member.sidecar = listener.local_addr().map_err(not_bound)?;
+        let settings = sidecar_settings(spec, &member, endpoint, Some(self.store))?;
+        let timers = self.cx.timers.clone();
+        let engine = Arc::new(HttpEngine::new(endpoint, timers.clone()));
+        let caller = format!("sidecar {}", member.name);
+        let store = HttpObjectApi::new(HttpSettings::new(self.store, caller), timers);
+        let store: Arc<dyn ObjectApi> = Arc::new(store);
+        let cx = self.cx.clone();
+        self.parts.spawn(sidecar::serve_with(settings, engine, Some(store), listener, cx));
+        self.members.push(member);
+        self.endpoints.push(endpoint);
+        Ok(())
+    }
+
+    fn start_endpoint(
+        &mut self,
+        spec: &ClusterSpec,
+        member: &Member,
+        bad_versions: &BTreeMap<VersionName, Badness>,
+        seed: u64,
+    ) -> Arc<dyn Handler> {
+        let timers = self.cx.timers.clone();
+        match member.kind {
+            ClassKind::Model => {
+                let mut settings = spec.engine_settings(member, seed);
+                settings.bad_versions.clone_from(bad_versions);
+                let engine = ModelEngine::start(settings, timers);
+                self.engines.push(Arc::clone(&engine));
+                engine
+            }
+            ClassKind::Charge => {
+                let settings = ServiceSettings {
+                    latency: Duration::from_millis(spec.service_latency_ms),
+                    slots: spec.service_slots,
+                    seed,
+                    ..ServiceSettings::default()
+                };
+                let service = OrderService::new(settings, timers);
+                self.services.push(Arc::clone(&service));
+                service
+            }
+        }
+    }
+
+    async fn start_entry(&mut self, i: usize) -> Result<()> {
+        let name = format!("entry-{i}");
+        let address = free_address().await?;
+        let settings = entry_settings(&name, address, self.store, Scheduling::Ours)?;
+        let cx = self.cx.clone();
+        self.parts.spawn(async move {
+            let log = cx.log.clone();
+            let ended = entry::serve(settings, cx).await;
+            if let Err(e) = &ended {
+                error!(log, "entry ended"; "error" => %e);
+            }
+            ended
+        });
+        self.entries.push(address);
+        Ok(())
+    }
+}
+
+async fn listen(handler: Arc<dyn Handler>, stop: &CancellationToken) -> Result<SocketAddr> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    serve(any, handler, stop.clone()).await
+}
+
+/// Finds an address that nobody listens on.
+async fn free_address() -> Result<SocketAddr> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = TcpListener::bind(any).await.map_err(not_bound)?;
+    listener.local_addr().map_err(not_bound)
+}
+
+fn not_bound(e: std::io::Error) -> Error {
+    Error::with_source(Kind::InvalidSettings, "listen on loopback", e)
+}
--- /dev/null
+++ b/crates/standins/src/cluster/settings.rs
@@ -0,0 +1,69 @@
+//! The settings that each part of a deployment is started with.
+
+use std::net::SocketAddr;
+
+use eelgrassramp::Result;
+use eelgrassramp::entry;
+use eelgrassramp::num;
+use eelgrassramp::sidecar;
+use serde_json::json;
+
+use super::spec::ClusterSpec;
+use super::spec::Member;
+use super::spec::Scheduling;
+use crate::load::ClassKind;
+
+/// Returns the settings of a member's sidecar.
+pub(super) fn sidecar_settings(
+    spec: &ClusterSpec,
+    member: &Member,
+    engine: SocketAddr,
+    store: Option<SocketAddr>,
+) -> Result<sidecar::Settings> {
+    let speed = 1.0 / spec.decode_step(member.speed).as_secs_f64();
+    let (kind, slots, reference) = match member.kind {
+        ClassKind::Model => ("model", num::count(spec.engine.slots), speed),
+        ClassKind::Charge => {
+            let calls = 1000.0 / spec.service_latency_ms as f64;
+            ("service", u64::from(spec.service_slots), calls)
+        }
+    };
+    let text = json!({
+        "listen": member.sidecar,
+        "endpoint": member.name,
+        "pool": member.pool,
+        "version": member.version,
+        "kind": kind,
+        "engine": engine,
+        "domain": member.domain,
+        "hardware": member.hardware,
+        "slots": slots,
+        "reference_tokens_per_second": reference,
+        "store": store,
+    });
+    sidecar::Settings::from_str(&text.to_string(), &member.name)
+}
+
+/// Returns the settings of one entry.
+pub(super) fn entry_settings(
+    name: &str,
+    listen: SocketAddr,
+    store: SocketAddr,
+    scheduling: Scheduling,
+) -> Result<entry::Settings> {
+    let text = json!({
+        "name": name,
+        "listen": listen,
+        "domain": "a",
+        "region": "north",
+        "store": store,
+        "policy": scheduling.policy(),
+        "drain": { "unready_ms": 200, "timeout_ms": 60_000 },
+    });
+    entry::Settings::from_str(&text.to_string(), name)
+}
+
+/// An address that settings need but no part of this process listens on.
+pub(super) fn unused_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
--- /dev/null
+++ b/crates/standins/src/experiment/run.rs
@@ -0,0 +1,180 @@
+//! Runs the cases of an experiment, each on a clock of its own.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use eelgrassramp::Error;
+use eelgrassramp::Kind;
+use eelgrassramp::RequestId;
+use eelgrassramp::Result;
+use eelgrassramp::num;
+use serde::Serialize;
+
+use super::file::Case;
+use super::file::Experiment;
+use crate::check::Check;
+use crate::check::check;
+use crate::cluster::InProcess;
+use crate::load::Arrival;
+use crate::load::Arrivals;
+use crate::load::Sample;
+use crate::load::Summary;
+use crate::load::Target;
+use crate::load::drive;
+
+/// What one case gave.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct CaseResult {
+    /// The case.
+    pub case: Case,
+    /// Requests sent per second.
+    pub per_second: f64,
+    /// What became of the requests after the warm-up.
+    pub summary: Summary,
+    /// Good answers per second.
+    pub good_per_second: f64,
+    /// Prompt tokens that the engines computed.
+    pub prefill_tokens: u64,
+    /// Share of them that was not needed for any delivered answer.
+    pub wasted_prefill: f64,
+    /// Bytes of control messages per second and entry.
+    pub control_bytes_per_entry_second: f64,
+    /// Calls to the object API per second, by caller's role.
+    pub store_calls_per_second: BTreeMap<String, f64>,
+    /// The promises.
+    pub checks: Vec<Check>,
+    /// Time on the deployment's own clock, in seconds.
+    pub simulated_s: f64,
+    /// Time that the run took, in seconds.
+    pub took_s: f64,
+}
+
+/// Runs all cases on `threads` threads and tells `notice` of each as it ends.
+///
+/// # Errors
+///
+/// Returns the error of the first case that could not be started.
+pub fn run(
+    experiment: &Experiment,
+    threads: usize,
+    notice: impl Fn(&CaseResult) + Sync,
+) -> Result<Vec<CaseResult>> {
+    let cases = experiment.cases();
+    let waiting = Mutex::new(cases.iter().enumerate());
+    let results: Mutex<BTreeMap<usize, Result<CaseResult>>> = Mutex::default();
+    let next = || waiting.lock().expect("no panic in between").next();
+    let work = || {
+        while let Some((i, case)) = next() {
+            let result = run_case(experiment, case);
+            result.iter().for_each(&notice);
+            results
+                .lock()
+                .expect("no panic in between")
+                .insert(i, result);
+        }
+    };
+    std::thread::scope(|scope| {
+        for _ in 0..threads.max(1) {
+            scope.spawn(work);
+        }
+    });
+    let results = results.into_inner().expect("no panic in between");
+    results.into_values().collect()
+}
+
+/// Runs one case under a paused clock.
+///
+/// # Errors
+///
+/// Returns the error of a part that refused its settings.
+pub fn run_case(experiment: &Experiment, case: &Case) -> Result<CaseResult> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .map_err(|e| Error::with_source(Kind::Internal, "start runtime", e))?;
+    runtime.block_on(measure(experiment, case))
+}
+
+async fn measure(experiment: &Experiment, case: &Case) -> Result<CaseResult> {
+    let began = Instant::now();
+    let spec = &experiment.cluster;
+    let traffic = &experiment.traffic;
+    let seed = experiment.seed;
+    let cluster = InProcess::start(spec, traffic, case.scheduling, seed).await?;
+    let cluster = Arc::new(cluster);
+    let per_second = case.load * spec.capacity(traffic);
+    let start = cluster.cx.timers.now();
+    let target = Arc::clone(&cluster) as Arc<dyn Target>;
+    let arrivals = arrivals(experiment, case, per_second);
+    let samples = drive(arrivals, target, cluster.cx.timers.clone(), |_| {}).await;
+    let simulated_s = cluster.cx.timers.now().since(start).as_secs_f64();
+
+    let warmup = Duration::from_secs_f64(experiment.warmup_s);
+    let counted: Vec<Sample> = samples.iter().filter(|s| s.at >= warmup).cloned().collect();
+    let summary = Summary::new(&counted);
+    let prefill_tokens = prefill_tokens(&cluster);
+    let needed = Summary::new(&samples).needed_prefill_tokens;
+    let charges: Vec<_> = cluster.services.iter().flat_map(|s| s.charges()).collect();
+    let entries = spec.entries as f64;
+    Ok(CaseResult {
+        case: case.clone(),
+        per_second,
+        good_per_second: summary.all.good as f64 / experiment.duration_s,
+        summary,
+        prefill_tokens,
+        wasted_prefill: ratio(prefill_tokens.saturating_sub(needed), prefill_tokens),
+        control_bytes_per_entry_second: cluster.link.control_bytes() as f64 / simulated_s / entries,
+        store_calls_per_second: store_calls(&cluster, simulated_s),
+        checks: check(&samples, &starts(&cluster), &charges),
+        simulated_s,
+        took_s: began.elapsed().as_secs_f64(),
+    })
+}
+
+fn arrivals<'a>(
+    experiment: &'a Experiment,
+    case: &'a Case,
+    per_second: f64,
+) -> impl Iterator<Item = Arrival> + 'a {
+    let length = Duration::from_secs_f64(experiment.warmup_s + experiment.duration_s);
+    Arrivals::new(experiment.traffic.clone(), per_second, experiment.seed)
+        .take_while(move |a| a.at < length)
+        .filter(|a| !case.silent.contains(&a.account))
+}
+
+fn prefill_tokens(cluster: &InProcess) -> u64 {
+    let engines = cluster.engines.iter();
+    engines.map(|e| e.stats().prefill_tokens).sum()
+}
+
+/// Counts how often each request was started at any endpoint.
+fn starts(cluster: &InProcess) -> HashMap<RequestId, u32> {
+    let mut all = HashMap::new();
+    let engines = cluster.engines.iter().map(|e| e.stats().starts);
+    let services = cluster.services.iter().map(|s| s.starts());
+    for (request, starts) in engines.chain(services).flatten() {
+        *all.entry(request).or_default() += starts;
+    }
+    all
+}
+
+fn store_calls(cluster: &InProcess, seconds: f64) -> BTreeMap<String, f64> {
+    let mut calls: BTreeMap<String, f64> = BTreeMap::new();
+    for count in cluster.platform.calls() {
+        let role = count.caller.split([' ', '-']).next().unwrap_or_default();
+        *calls.entry(role.to_owned()).or_default() += count.calls as f64 / seconds;
+    }
+    calls
+}
+
+fn ratio(part: u64, whole: u64) -> f64 {
+    if whole == 0 {
+        return 0.0;
+    }
+    num::round_to_u64(part as f64 / whole as f64 * 1e4) as f64 / 1e4
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,7 +4,12 @@
 //! trait in-process, and a server that speaks the published protocol of the same system. All
 //! of them wait through [`eelgrassramp::Timers`], so they run under a paused clock as well.
 
+pub mod check;
+pub mod cli;
+pub mod cluster;
+pub mod demo;
 pub mod engine;
+pub mod experiment;
 pub mod fault;
 pub mod http;
 pub mod load;
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -12,6 +12,7 @@
 pub use self::arrivals::Arrivals;
 pub use self::drive::drive;
 pub use self::http::HttpTarget;
+pub use self::http::get;
 pub use self::sample::Outcome;
 pub use self::sample::Sample;
 pub use self::summary::Latency;
--- a/crates/standins/src/load/http.rs
+++ b/crates/standins/src/load/http.rs
@@ -21,6 +21,17 @@
 use super::target::Reply;
 use super::target::Target;
 
+/// Reads `path` at `address`; `None` means that there was no whole answer.
+pub async fn get(address: SocketAddr, path: &str) -> Option<(u16, Bytes)> {
+    let client: Client<HttpConnector, Full<Bytes>> =
+        Client::builder(TokioExecutor::new()).build_http();
+    let uri = format!("http://{address}{path}").parse().ok()?;
+    let res = client.get(uri).await.ok()?;
+    let status = res.status().as_u16();
+    let body = res.into_body().collect().await.ok()?;
+    Some((status, body.to_bytes()))
+}
+
 /// Spreads calls over addresses in turn, as a balancer does.
 #[derive(Debug)]
 pub struct HttpTarget {
