--- a/crates/standins/src/cli/experiments.rs
+++ b/crates/standins/src/cli/experiments.rs
@@ -12,6 +12,7 @@
 use crate::experiment;
 use crate::experiment::CaseResult;
 use crate::experiment::Experiment;
+use crate::load::Row;
 
 /// An experiment that comes with this program.
 #[derive(Debug)]
@@ -53,7 +54,7 @@
     let threads: usize = *args.get_one("threads").expect("it has a default");
     let results = experiment::run(&experiment, threads, progress)?;
     println!("{}", experiment::table(&results));
-    print_accounts(&results);
+    print_details(&results);
     if let Some(dir) = args.get_one::<PathBuf>("out") {
         write(dir, name, &results)?;
     }
@@ -78,23 +79,47 @@
     let _shown = writeln!(std::io::stderr(), "{line}");
 }
 
-fn print_accounts(results: &[CaseResult]) {
+/// Prints what the table has no room for: endings by tier, accounts and broken promises.
+fn print_details(results: &[CaseResult]) {
     for result in results {
         let case = &result.case;
+        println!(
+            "\n{} at {}, silent {:?}: {:.0} control bytes/s per entry, store calls/s {:?}",
+            case.scheduling.as_str(),
+            case.load,
+            case.silent,
+            result.control_bytes_per_entry_second,
+            result.store_calls_per_second,
+        );
+        for (tier, row) in &result.summary.tiers {
+            print_row(tier.as_str(), row);
+        }
         for (account, row) in &result.summary.accounts {
+            print_row(account.as_str(), row);
+        }
+        for check in result.checks.iter().filter(|c| c.violations > 0) {
             println!(
-                "{:<18} {:<5} silent={:?} {account}: goodput {:.4}, total p50/p99 {:.0}/{:.0} ms",
-                case.scheduling.as_str(),
-                case.load,
-                case.silent,
-                row.goodput(),
-                row.total.p50_ms,
-                row.total.p99_ms,
+                "  BROKEN: {}: {} of {}",
+                check.promise, check.violations, check.cases
             );
         }
     }
 }
 
+fn print_row(name: &str, row: &Row) {
+    println!(
+        "  {name}: goodput {:.4} of {}, total p50/p99 {:.0}/{:.0} ms, late {}, broken {}, wrong {}, refused {:?}",
+        row.goodput(),
+        row.sent,
+        row.total.p50_ms,
+        row.total.p99_ms,
+        row.late,
+        row.broken,
+        row.wrong,
+        row.refused,
+    );
+}
+
 fn write(dir: &Path, name: &str, results: &[CaseResult]) -> Result<()> {
     let fail = |e: std::io::Error| {
         Error::with_source(
--- a/crates/standins/src/cluster/loopback.rs
+++ b/crates/standins/src/cluster/loopback.rs
@@ -95,7 +95,9 @@
         };
         for (i, member) in spec.members().into_iter().enumerate() {
             let seed = seed + num::count(i);
-            cluster.start_member(spec, member, bad_versions, seed).await?;
+            cluster
+                .start_member(spec, member, bad_versions, seed)
+                .await?;
         }
         for i in 0..spec.entries {
             cluster.start_entry(i).await?;
@@ -173,7 +175,13 @@
         let store = HttpObjectApi::new(HttpSettings::new(self.store, caller), timers);
         let store: Arc<dyn ObjectApi> = Arc::new(store);
         let cx = self.cx.clone();
-        self.parts.spawn(sidecar::serve_with(settings, engine, Some(store), listener, cx));
+        self.parts.spawn(sidecar::serve_with(
+            settings,
+            engine,
+            Some(store),
+            listener,
+            cx,
+        ));
         self.members.push(member);
         self.endpoints.push(endpoint);
         Ok(())
--- a/crates/standins/src/cluster/settings.rs
+++ b/crates/standins/src/cluster/settings.rs
@@ -41,7 +41,7 @@
         "reference_tokens_per_second": reference,
         "store": store,
     });
-    sidecar::Settings::from_str(&text.to_string(), &member.name)
+    sidecar::Settings::from_text(&text.to_string(), &member.name)
 }
 
 /// Returns the settings of one entry.
--- a/crates/standins/src/demo/follow.rs
+++ b/crates/standins/src/demo/follow.rs
@@ -6,8 +6,7 @@
 use serde::Serialize;
 
 /// How far a move has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum MoveStatus {
     /// No move is recorded.
--- a/crates/standins/src/demo/report.rs
+++ b/crates/standins/src/demo/report.rs
@@ -41,10 +41,17 @@
 
     fn tiers(&self) -> Table {
         let mut table = Table::new();
-        table.load_preset(UTF8_HORIZONTAL_ONLY);
+        table.load_style(UTF8_HORIZONTAL_ONLY);
         table.set_header([
-            "tier", "sent", "good", "goodput", "late", "refused", "broken",
-            "first byte p50/p99 ms", "total p50/p99 ms",
+            "tier",
+            "sent",
+            "good",
+            "goodput",
+            "late",
+            "refused",
+            "broken",
+            "first byte p50/p99 ms",
+            "total p50/p99 ms",
         ]);
         for (tier, row) in &self.summary.tiers {
             table.add_row(cells(tier.as_str(), row));
@@ -55,10 +62,14 @@
 
     fn promises(&self) -> Table {
         let mut table = Table::new();
-        table.load_preset(UTF8_HORIZONTAL_ONLY);
+        table.load_style(UTF8_HORIZONTAL_ONLY);
         table.set_header(["promise", "cases", "violations", ""]);
         for check in &self.checks {
-            let verdict = if check.violations == 0 { "kept" } else { "BROKEN" };
+            let verdict = if check.violations == 0 {
+                "kept"
+            } else {
+                "BROKEN"
+            };
             let cases = check.cases.to_string();
             let violations = check.violations.to_string();
             table.add_row([check.promise, &cases, &violations, verdict]);
@@ -74,7 +85,12 @@
         writeln!(f, "{}\n", self.tiers())?;
         writeln!(f, "wasted prefill: {:.1} %", self.wasted_prefill() * 100.0)?;
         writeln!(f, "moves done: {done}, taken back: {taken_back}")?;
-        writeln!(f, "this move: {}, wanted: {}\n", self.moved.as_str(), self.wanted.as_str())?;
+        writeln!(
+            f,
+            "this move: {}, wanted: {}\n",
+            self.moved.as_str(),
+            self.wanted.as_str()
+        )?;
         writeln!(f, "{}", self.promises())
     }
 }
--- a/crates/standins/src/demo/run.rs
+++ b/crates/standins/src/demo/run.rs
@@ -131,7 +131,9 @@
         });
     }
     cluster.apply(&tables).await?;
-    say(&format!("pool \"{pool}\" is asked to move to \"{NEW_VERSION}\""));
+    say(&format!(
+        "pool \"{pool}\" is asked to move to \"{NEW_VERSION}\""
+    ));
     let end = timers.now() + MOVE_WAIT;
     let client = cluster.platform.client("demo");
     loop {
--- a/crates/standins/src/experiment/table.rs
+++ b/crates/standins/src/experiment/table.rs
@@ -10,7 +10,7 @@
 #[must_use]
 pub fn table(results: &[CaseResult]) -> Table {
     let mut table = Table::new();
-    table.load_preset(UTF8_HORIZONTAL_ONLY);
+    table.load_style(UTF8_HORIZONTAL_ONLY);
     let tiers = Tier::ALL.map(|t| format!("{t} good"));
     let fixed = ["scheduling", "load", "silent", "sent/s", "good/s"].map(str::to_owned);
     let rest = [
