--- a/crates/standins/src/cluster.rs
+++ b/crates/standins/src/cluster.rs
@@ -10,6 +10,7 @@
 pub use self::in_process::InProcess;
 pub use self::link::LocalLink;
 pub use self::loopback::Loopback;
+pub use self::settings::unix_ms;
 pub use self::spec::ClusterSpec;
 pub use self::spec::EngineGroup;
 pub use self::spec::EngineSpec;
--- a/crates/standins/src/cluster/in_process.rs
+++ b/crates/standins/src/cluster/in_process.rs
@@ -21,8 +21,10 @@
 use futures_util::StreamExt;
 
 use super::link::LocalLink;
+use super::settings::KEY_MARGIN;
 use super::settings::entry_settings;
 use super::settings::sidecar_settings;
+use super::settings::unix_ms;
 use super::settings::unused_address;
 use super::spec::ClusterSpec;
 use super::spec::Member;
@@ -60,6 +62,7 @@
     pub faults: Arc<Faults>,
     /// The entries.
     pub entries: Vec<entry::Service>,
+    origin_unix_ms: u64,
 }
 
 impl Drop for InProcess {
@@ -90,6 +93,7 @@
             link: LocalLink::new(),
             faults,
             entries: Vec::new(),
+            origin_unix_ms: unix_ms(),
             cx,
         };
         for (i, member) in cluster.members.clone().iter().enumerate() {
@@ -101,6 +105,7 @@
         let document = document(&cluster.members, traffic, scheduling);
         cluster.apply(&document).await?;
         cluster.ready().await;
+        cluster.cx.timers.after(KEY_MARGIN).await;
         Ok(cluster)
     }
 
@@ -116,6 +121,12 @@
         client.put(tables::OBJECT_KEY, current.version, value).await
     }
 
+    /// Returns the Unix time now on the deployment's own clock, in milliseconds.
+    #[must_use]
+    pub fn unix_ms(&self) -> u64 {
+        self.origin_unix_ms + self.cx.timers.now().as_millis()
+    }
+
     /// Waits until all entries can serve.
     pub async fn ready(&self) {
         while !self.entries.iter().all(entry::Service::is_ready) {
--- a/crates/standins/src/cluster/loopback.rs
+++ b/crates/standins/src/cluster/loopback.rs
@@ -25,6 +25,7 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
+use super::settings::KEY_MARGIN;
 use super::settings::entry_settings;
 use super::settings::sidecar_settings;
 use super::spec::ClusterSpec;
@@ -136,6 +137,7 @@
                 Error::new(Kind::PoolUnavailable, detail)
             })?;
         }
+        self.cx.timers.after(KEY_MARGIN).await;
         Ok(())
     }
 
--- a/crates/standins/src/cluster/settings.rs
+++ b/crates/standins/src/cluster/settings.rs
@@ -1,6 +1,7 @@
 //! The settings that each part of a deployment is started with.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use eelgrassramp::Result;
 use eelgrassramp::entry;
@@ -13,6 +14,15 @@
 use super::spec::Scheduling;
 use crate::load::ClassKind;
 
+/// Time after a sidecar's start from which it knows that a new key was never used before.
+pub(super) const KEY_MARGIN: Duration = Duration::from_millis(2_500);
+
+/// Returns the Unix time in milliseconds.
+#[must_use]
+pub fn unix_ms() -> u64 {
+    u64::try_from(jiff::Timestamp::now().as_millisecond()).unwrap_or(0)
+}
+
 /// Returns the settings of a member's sidecar.
 pub(super) fn sidecar_settings(
     spec: &ClusterSpec,
--- a/crates/standins/src/demo/run.rs
+++ b/crates/standins/src/demo/run.rs
@@ -23,6 +23,7 @@
 use crate::cluster::Loopback;
 use crate::cluster::Scheduling;
 use crate::cluster::document;
+use crate::cluster::unix_ms;
 use crate::engine::Badness;
 use crate::experiment::Experiment;
 use crate::load::Arrivals;
@@ -106,7 +107,7 @@
     let share = experiment.loads.first().copied().unwrap_or(1.0);
     let per_second = share * experiment.cluster.capacity(traffic);
     let length = Duration::from_secs_f64(experiment.duration_s);
-    let arrivals = Arrivals::new(traffic.clone(), per_second, experiment.seed);
+    let arrivals = Arrivals::new(traffic.clone(), per_second, experiment.seed, unix_ms());
     let arrivals = arrivals.take_while(move |a| a.at < length);
     let timers = cluster.cx.timers.clone();
     let target = HttpTarget::new(cluster.entries.clone(), timers.clone());
--- a/crates/standins/src/experiment/run.rs
+++ b/crates/standins/src/experiment/run.rs
@@ -110,7 +110,7 @@
     let per_second = case.load * spec.capacity(traffic);
     let start = cluster.cx.timers.now();
     let target = Arc::clone(&cluster) as Arc<dyn Target>;
-    let arrivals = arrivals(experiment, case, per_second);
+    let arrivals = arrivals(experiment, case, per_second, cluster.unix_ms());
     let samples = drive(arrivals, target, cluster.cx.timers.clone(), |_| {}).await;
     let simulated_s = cluster.cx.timers.now().since(start).as_secs_f64();
 
@@ -140,11 +140,17 @@
     experiment: &'a Experiment,
     case: &'a Case,
     per_second: f64,
+    unix_start_ms: u64,
 ) -> impl Iterator<Item = Arrival> + 'a {
     let length = Duration::from_secs_f64(experiment.warmup_s + experiment.duration_s);
-    Arrivals::new(experiment.traffic.clone(), per_second, experiment.seed)
-        .take_while(move |a| a.at < length)
-        .filter(|a| !case.silent.contains(&a.account))
+    Arrivals::new(
+        experiment.traffic.clone(),
+        per_second,
+        experiment.seed,
+        unix_start_ms,
+    )
+    .take_while(move |a| a.at < length)
+    .filter(|a| !case.silent.contains(&a.account))
 }
 
 fn prefill_tokens(cluster: &InProcess) -> u64 {
--- a/crates/standins/src/load/arrivals.rs
+++ b/crates/standins/src/load/arrivals.rs
@@ -5,6 +5,7 @@
 use eelgrassramp::AccountName;
 use eelgrassramp::RouteName;
 use eelgrassramp::Tier;
+use eelgrassramp::num;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -16,6 +17,7 @@
 use crate::engine::BYTES_PER_TOKEN;
 
 const MIN_OWN_BYTES: usize = 16;
+const UUID_TIME_SPLIT: usize = 8;
 
 /// One request with everything that its caller knows.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -82,21 +84,35 @@
     rng: StdRng,
     now_s: f64,
     number: u64,
+    unix_start_ms: u64,
 }
 
 impl Arrivals {
     /// Creates the sequence for a mean rate outside of bursts.
+    ///
+    /// `unix_start_ms` is the Unix time of its start on the callers' clocks, which they write
+    /// into idempotency keys.
     #[must_use]
-    pub fn new(traffic: Traffic, per_second: f64, seed: u64) -> Self {
+    pub fn new(traffic: Traffic, per_second: f64, seed: u64, unix_start_ms: u64) -> Self {
         Self {
             traffic,
             per_second,
+            unix_start_ms,
             rng: StdRng::seed_from_u64(seed),
             now_s: 0.0,
             number: 0,
         }
     }
 
+    /// Returns a UUID of version 7, which tells when it was made.
+    fn key(&self) -> String {
+        let at = Duration::from_secs_f64(self.now_s);
+        let ms = self.unix_start_ms + num::millis(at);
+        let time = format!("{ms:012x}");
+        let (high, low) = time.split_at(UUID_TIME_SPLIT);
+        format!("{high}-{low}-7000-8000-{:012x}", self.number)
+    }
+
     fn advance(&mut self) {
         // Candidates come at the highest rate and are thinned out to the present one.
         let factor = self.traffic.bursts.map_or(1.0, |b| b.factor.max(1.0));
@@ -134,7 +150,7 @@
             account: account.clone(),
             path: class.path(),
             timeout: Duration::from_millis(class.timeout_ms),
-            key: is_charge.then(|| format!("charge-{}", self.number)),
+            key: is_charge.then(|| self.key()),
             prompt,
             prefix_tokens: whole_tokens(class.prefix_bytes),
             prefix_family: family,
@@ -177,7 +193,7 @@
 }
 
 fn length(value: f64) -> usize {
-    eelgrassramp::num::length(eelgrassramp::num::round_to_u64(value))
+    num::length(num::round_to_u64(value))
 }
 
 fn exponential(rng: &mut StdRng, mean: f64) -> f64 {
--- a/crates/standins/src/load/sample.rs
+++ b/crates/standins/src/load/sample.rs
@@ -120,9 +120,10 @@
 
 /// Judges an answer that ended early; an error event at its end names the cause.
 fn broken_off(reply: &Reply) -> Outcome {
-    let last = reply.body.rsplitn(2, |b| *b == b'\n').last();
-    let named = last.and_then(|line| refusal(line, reply.ran.as_deref()));
-    named.unwrap_or(Outcome::Broken)
+    let body = String::from_utf8_lossy(&reply.body);
+    let last = body.trim_end().rsplit("\n\n").next().unwrap_or_default();
+    let data = last.rsplit("data: ").next().unwrap_or_default();
+    refusal(data.as_bytes(), reply.ran.as_deref()).unwrap_or(Outcome::Broken)
 }
 
 fn refusal(body: &[u8], ran: Option<&str>) -> Option<Outcome> {
