--- a/crates/standins/src/cli/demo.rs
+++ b/crates/standins/src/cli/demo.rs
@@ -35,7 +35,8 @@
             metrics: metrics::discard(),
             timers: Timers::start(),
             stop: CancellationToken::new(),
-            seed: Some(experiment.seed),
+            // With one seed, all entries would draw the same request identifiers.
+            seed: None,
         };
         demo::run(&experiment, options, cx).await
     })?;
--- a/crates/standins/src/demo/run.rs
+++ b/crates/standins/src/demo/run.rs
@@ -1,14 +1,12 @@
 //! Runs the demonstration from start to stop.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::io::IsTerminal;
 use std::io::Write;
 use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrassramp::Context;
-use eelgrassramp::RequestId;
 use eelgrassramp::Result;
 use eelgrassramp::VersionName;
 use eelgrassramp::tables::Document;
@@ -19,6 +17,7 @@
 use super::follow::MoveStatus;
 use super::follow::read_move;
 use super::report::Report;
+use crate::check::Starts;
 use crate::check::check;
 use crate::cluster::Loopback;
 use crate::cluster::Scheduling;
@@ -73,7 +72,7 @@
         load(&cluster, experiment),
         move_pool(&cluster, experiment, tables)
     );
-    let starts = starts(&cluster);
+    let starts = Starts::new(&cluster.engines, &cluster.services);
     let charges: Vec<_> = cluster.services.iter().flat_map(|s| s.charges()).collect();
     let prefill = cluster.engines.iter().map(|e| e.stats().prefill_tokens);
     let report = Report {
@@ -147,16 +146,6 @@
     }
 }
 
-fn starts(cluster: &Loopback) -> HashMap<RequestId, u32> {
-    let mut all = HashMap::new();
-    let engines = cluster.engines.iter().map(|e| e.stats().starts);
-    let services = cluster.services.iter().map(|s| s.starts());
-    for (request, starts) in engines.chain(services).flatten() {
-        *all.entry(request).or_default() += starts;
-    }
-    all
-}
-
 /// The progress line.
 #[derive(Debug)]
 struct Progress {
--- a/crates/standins/src/engine/http.rs
+++ b/crates/standins/src/engine/http.rs
@@ -151,7 +151,8 @@
                 let stream = engine.resume(request.parse()?, offset.unwrap_or(0)).await?;
                 Ok(to_response(stream).await)
             }
-            _ => run(engine, req).await,
+            _ if req.method() == Method::POST => run(engine, req).await,
+            _ => Ok(status(StatusCode::NOT_FOUND)),
         },
     }
 }
--- a/crates/standins/src/experiment/run.rs
+++ b/crates/standins/src/experiment/run.rs
@@ -1,7 +1,6 @@
 //! Runs the cases of an experiment, each on a clock of its own.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -9,7 +8,6 @@
 
 use eelgrassramp::Error;
 use eelgrassramp::Kind;
-use eelgrassramp::RequestId;
 use eelgrassramp::Result;
 use eelgrassramp::num;
 use serde::Serialize;
@@ -17,6 +15,7 @@
 use super::file::Case;
 use super::file::Experiment;
 use crate::check::Check;
+use crate::check::Starts;
 use crate::check::check;
 use crate::cluster::InProcess;
 use crate::load::Arrival;
@@ -58,6 +57,10 @@
 /// # Errors
 ///
 /// Returns the error of the first case that could not be started.
+///
+/// # Panics
+///
+/// Panics when a case panics.
 pub fn run(
     experiment: &Experiment,
     threads: usize,
@@ -120,6 +123,7 @@
     let prefill_tokens = prefill_tokens(&cluster);
     let needed = Summary::new(&samples).needed_prefill_tokens;
     let charges: Vec<_> = cluster.services.iter().flat_map(|s| s.charges()).collect();
+    let starts = Starts::new(&cluster.engines, &cluster.services);
     let entries = spec.entries as f64;
     Ok(CaseResult {
         case: case.clone(),
@@ -130,7 +134,7 @@
         wasted_prefill: ratio(prefill_tokens.saturating_sub(needed), prefill_tokens),
         control_bytes_per_entry_second: cluster.link.control_bytes() as f64 / simulated_s / entries,
         store_calls_per_second: store_calls(&cluster, simulated_s),
-        checks: check(&samples, &starts(&cluster), &charges),
+        checks: check(&samples, &starts, &charges),
         simulated_s,
         took_s: began.elapsed().as_secs_f64(),
     })
@@ -158,17 +162,6 @@
     engines.map(|e| e.stats().prefill_tokens).sum()
 }
 
-/// Counts how often each request was started at any endpoint.
-fn starts(cluster: &InProcess) -> HashMap<RequestId, u32> {
-    let mut all = HashMap::new();
-    let engines = cluster.engines.iter().map(|e| e.stats().starts);
-    let services = cluster.services.iter().map(|s| s.starts());
-    for (request, starts) in engines.chain(services).flatten() {
-        *all.entry(request).or_default() += starts;
-    }
-    all
-}
-
 fn store_calls(cluster: &InProcess, seconds: f64) -> BTreeMap<String, f64> {
     let mut calls: BTreeMap<String, f64> = BTreeMap::new();
     for count in cluster.platform.calls() {
--- a/crates/standins/src/experiment/table.rs
+++ b/crates/standins/src/experiment/table.rs
@@ -2,6 +2,7 @@
 
 use comfy_table::Table;
 use comfy_table::presets::UTF8_HORIZONTAL_ONLY;
+use eelgrassramp::AccountName;
 use eelgrassramp::Tier;
 
 use super::run::CaseResult;
@@ -29,7 +30,7 @@
 
 fn row(result: &CaseResult) -> Vec<String> {
     let case = &result.case;
-    let silent: Vec<&str> = case.silent.iter().map(|a| a.as_str()).collect();
+    let silent: Vec<&str> = case.silent.iter().map(AccountName::as_str).collect();
     let mut cells = vec![
         case.scheduling.as_str().to_owned(),
         format!("{:.2}", case.load),
--- a/crates/standins/tests/http.rs
+++ b/crates/standins/tests/http.rs
@@ -12,6 +12,8 @@
 use eelgrassramp_standins::http::serve;
 use eelgrassramp_standins::platform::Platform;
 use eelgrassramp_standins::platform::Settings as PlatformSettings;
+use eelgrassramp_standins::service::OrderService;
+use eelgrassramp_standins::service::Settings as ServiceSettings;
 use googletest::prelude::*;
 use http::Request;
 use http::StatusCode;
@@ -107,3 +109,19 @@
     expect_that!(ordered.body, eq(r#"{"version":"v1"}"#));
     expect_that!(refused.status, eq(StatusCode::CONFLICT));
 }
+
+#[gtest]
+#[tokio::test]
+async fn only_a_post_executes_a_charge() {
+    let service = OrderService::new(ServiceSettings::default(), Timers::start());
+    let to = start(Arc::clone(&service) as Arc<dyn Handler>).await;
+    let charge = Request::post("/").header("idempotency-key", "deposit-1");
+
+    let probe = send(to, Request::get("/"), "/cache/events?after=0", "").await;
+    let charged = send(to, charge, "/v1/orders", "{}").await;
+
+    expect_that!(probe.status, eq(StatusCode::NOT_FOUND));
+    expect_that!(charged.status, eq(StatusCode::OK));
+    let keys: Vec<Arc<str>> = service.charges().into_iter().map(|c| c.key).collect();
+    expect_that!(keys, elements_are![eq(&Arc::from("deposit-1"))]);
+}
