--- a/crates/eelgrassramp/src/entry/run.rs
+++ b/crates/eelgrassramp/src/entry/run.rs
@@ -272,7 +272,7 @@
             account: self.req.account.clone(),
             weight: pool.weights.get(&self.req.account).copied().unwrap_or(1),
             deadline: self.deadline,
-            cost: u64::from(work.prefill_tokens) + u64::from(work.output_tokens),
+            cost: work.cost(),
             non_idempotent: self.req.route.non_idempotent,
         };
         let wish = Wish {
@@ -318,7 +318,7 @@
             return Err(refusal);
         }
         let work = self.work();
-        let tokens = u64::from(work.prefill_tokens) + u64::from(work.output_tokens);
+        let tokens = work.cost();
         self.shared.lock().raise_order_pressure(pool, tokens);
         self.shared.press(pool);
         self.shared.timers().after(ORDER_WAIT).await;
--- a/crates/eelgrassramp/src/routing/router.rs
+++ b/crates/eelgrassramp/src/routing/router.rs
@@ -35,6 +35,7 @@
 use crate::time::Monotonic;
 use crate::wire::Load;
 use crate::wire::Report;
+use crate::wire::Work;
 
 /// Endpoints drawn at random for one decision.
 const RANDOM_CANDIDATES: usize = 3;
@@ -553,7 +554,8 @@
             } else {
                 1.0
             };
-            trust * (depths.of(slot) * BLOCK_BYTES / BYTES_PER_TOKEN) as f64
+            let cached = (depths.of(slot) * BLOCK_BYTES / BYTES_PER_TOKEN) as f64;
+            trust * Work::cost_of_prefill(cached)
         });
         let own = (ask.tokens as f64 - saved).max(1.0);
         let seconds = (view.backlog(now, mean) + own) / view.speed();
--- a/crates/eelgrassramp/src/sidecar/service.rs
+++ b/crates/eelgrassramp/src/sidecar/service.rs
@@ -51,7 +51,6 @@
 use super::scheduler::Capacity;
 use super::scheduler::Scheduler;
 use super::settings::Settings;
-use super::speed::cost_of;
 use super::state::Fence;
 use super::state::Job;
 use super::state::Meta;
@@ -365,7 +364,7 @@
             account: msg.account.clone(),
             weight: weight.unwrap_or(1),
             deadline: now + msg.deadline().min(MAX_DEADLINE),
-            cost: cost_of(msg.work),
+            cost: msg.work.cost(),
             non_idempotent: msg.non_idempotent,
         }
     }
--- a/crates/eelgrassramp/src/wire/message.rs
+++ b/crates/eelgrassramp/src/wire/message.rs
@@ -451,6 +451,24 @@
     pub refused: Option<Kind>,
 }
 
+/// Prompt tokens that take as long as one output token.
+const PREFILL_TOKENS_PER_OUTPUT_TOKEN: u32 = 10;
+
+impl Work {
+    /// Returns the work in output tokens, the unit of [`Load::tokens_per_second`].
+    #[must_use]
+    pub fn cost(self) -> u64 {
+        let prefill = self.prefill_tokens / PREFILL_TOKENS_PER_OUTPUT_TOKEN;
+        u64::from(self.output_tokens.saturating_add(prefill).max(1))
+    }
+
+    /// Returns the output tokens that take as long as `prefill` prompt tokens.
+    #[must_use]
+    pub fn cost_of_prefill(prefill: f64) -> f64 {
+        prefill / f64::from(PREFILL_TOKENS_PER_OUTPUT_TOKEN)
+    }
+}
+
 impl Dispatch {
     /// Returns the time left for the whole answer.
     #[must_use]
--- a/crates/standins/src/experiment/file.rs
+++ b/crates/standins/src/experiment/file.rs
@@ -21,8 +21,11 @@
     pub seed: u64,
     /// Time from the start whose requests are not counted, in seconds.
     pub warmup_s: f64,
-    /// Time after the warm-up in which requests are sent, in seconds.
+    /// Time after the warm-up whose requests are counted, in seconds.
     pub duration_s: f64,
+    /// Time after that in which the load goes on, so that the last requests that are counted
+    /// meet it too, in seconds.
+    pub cooldown_s: f64,
     /// Rates as fractions of the capacity.
     pub loads: Vec<f64>,
     /// Ways to schedule.
--- a/crates/standins/src/experiment/run.rs
+++ b/crates/standins/src/experiment/run.rs
@@ -1,6 +1,7 @@
 //! Runs the cases of an experiment, each on a clock of its own.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -32,9 +33,9 @@
     pub case: Case,
     /// Requests sent per second.
     pub per_second: f64,
-    /// What became of the requests after the warm-up.
+    /// What became of the requests that were sent in the measured time.
     pub summary: Summary,
-    /// Good answers per second.
+    /// Good answers per second that ended in the measured time.
     pub good_per_second: f64,
     /// Prompt tokens that the engines computed.
     pub prefill_tokens: u64,
@@ -117,9 +118,13 @@
     let samples = drive(arrivals, target, cluster.cx.timers.clone(), |_| {}).await;
     let simulated_s = cluster.cx.timers.now().since(start).as_secs_f64();
 
-    let warmup = Duration::from_secs_f64(experiment.warmup_s);
-    let counted: Vec<Sample> = samples.iter().filter(|s| s.at >= warmup).cloned().collect();
-    let summary = Summary::new(&counted);
+    let window = window(experiment);
+    let counted = samples.iter().filter(|s| window.contains(&s.at));
+    let counted: Vec<Sample> = counted.cloned().collect();
+    let ended = samples
+        .iter()
+        .filter(|s| window.contains(&(s.at + s.total)));
+    let good = ended.filter(|s| s.is_good()).count();
     let prefill_tokens = prefill_tokens(&cluster);
     let needed = Summary::new(&samples).needed_prefill_tokens;
     let charges: Vec<_> = cluster.services.iter().flat_map(|s| s.charges()).collect();
@@ -128,8 +133,8 @@
     Ok(CaseResult {
         case: case.clone(),
         per_second,
-        good_per_second: summary.all.good as f64 / experiment.duration_s,
-        summary,
+        good_per_second: good as f64 / experiment.duration_s,
+        summary: Summary::new(&counted),
         prefill_tokens,
         wasted_prefill: ratio(prefill_tokens.saturating_sub(needed), prefill_tokens),
         control_bytes_per_entry_second: cluster.link.control_bytes() as f64 / simulated_s / entries,
@@ -146,7 +151,8 @@
     per_second: f64,
     unix_start_ms: u64,
 ) -> impl Iterator<Item = Arrival> + 'a {
-    let length = Duration::from_secs_f64(experiment.warmup_s + experiment.duration_s);
+    let length = experiment.warmup_s + experiment.duration_s + experiment.cooldown_s;
+    let length = Duration::from_secs_f64(length);
     Arrivals::new(
         experiment.traffic.clone(),
         per_second,
@@ -157,6 +163,12 @@
     .filter(|a| !case.silent.contains(&a.account))
 }
 
+/// Returns the time whose requests are counted.
+fn window(experiment: &Experiment) -> Range<Duration> {
+    let begin = Duration::from_secs_f64(experiment.warmup_s);
+    begin..begin + Duration::from_secs_f64(experiment.duration_s)
+}
+
 fn prefill_tokens(cluster: &InProcess) -> u64 {
     let engines = cluster.engines.iter();
     engines.map(|e| e.stats().prefill_tokens).sum()
