Callers' interface under hostile callers, HTTP link against raw sockets

A stream that broke lost its last event: the server closes a connection whose body fails without writing what it holds. The body now yields once before it fails. Before: the event was missing in the test of broken streams; after: the test passes.

--- a/crates/eelgrassramp/src/entry.rs
+++ b/crates/eelgrassramp/src/entry.rs
@@ -31,6 +31,7 @@
 pub use self::flight::Step;
 pub use self::histograms::Series;
 pub use self::serve::serve;
+pub use self::serve::serve_with;
 pub use self::service::Service;
 pub use self::settings::DrainSettings;
 pub use self::settings::LimitSettings;
--- a/crates/eelgrassramp/src/entry/classify.rs
+++ b/crates/eelgrassramp/src/entry/classify.rs
@@ -237,10 +237,10 @@
     /// Returns the prompt as one text, in the order in which an engine reads it.
     fn prompt_text(&self) -> Vec<u8> {
         let mut text = Vec::new();
-        push_text(&self.prompt, &mut text);
         for message in &self.messages {
             push_text(&message.content, &mut text);
         }
+        push_text(&self.prompt, &mut text);
         text
     }
 }
--- a/crates/eelgrassramp/src/entry/serve.rs
+++ b/crates/eelgrassramp/src/entry/serve.rs
@@ -51,7 +51,8 @@
 ///
 /// # Errors
 ///
-/// Returns [`Kind::InvalidSettings`] when the listening address cannot be bound.
+/// Returns [`Kind::InvalidSettings`] when the listening address cannot be bound, and
+/// [`Kind::Internal`] when requests were still running at the end of the drain.
 pub async fn serve(settings: Settings, cx: Context) -> Result<()> {
     let listen = settings.listen;
     let listener = TcpListener::bind(listen)
@@ -68,36 +69,46 @@
         Arc::clone(&api),
         Arc::clone(&current),
     ));
-    let drain = settings.drain;
-    let limits = settings.limits;
-    let service = Service::new(settings, link, current, cx.clone());
-    info!(cx.log, "listening"; "address" => %listen);
+    let service = Service::new(settings.clone(), link, current, cx.clone());
+    serve_with(&settings, service, listener, cx).await
+}
 
+/// Serves callers of an entry on a socket that listens already.
+///
+/// # Errors
+///
+/// Returns [`Kind::Internal`] when requests were still running at the end of the drain.
+pub async fn serve_with(
+    settings: &Settings,
+    service: Service,
+    listener: TcpListener,
+    cx: Context,
+) -> Result<()> {
+    info!(cx.log, "entry serves"; "entry" => %settings.name, "listen" => %settings.listen);
     let closing = CancellationToken::new();
     let connections = Connections {
         service: service.clone(),
         cx: cx.clone(),
-        limits,
+        limits: settings.limits,
         closing: closing.clone(),
         tracker: TaskTracker::new(),
     };
     let tracker = connections.tracker.clone();
     tokio::spawn(connections.accept(listener));
     cx.stop.cancelled().await;
-    cx.timers
-        .after(Duration::from_millis(drain.unready_ms))
-        .await;
+    info!(cx.log, "entry drains");
+    cx.timers.after(settings.drain.unready()).await;
     closing.cancel();
     tracker.close();
     let ended = async {
         tracker.wait().await;
         service.drained().await;
     };
-    let limit = Duration::from_millis(drain.timeout_ms);
-    if cx.timers.limit(limit, ended).await.is_none() {
-        warn!(cx.log, "requests still running at the end of the drain"; "limit_ms" => drain.timeout_ms);
-    }
-    Ok(())
+    let limit = settings.drain.timeout();
+    cx.timers.limit(limit, ended).await.ok_or_else(|| {
+        let detail = format!("requests were running after {} ms", limit.as_millis());
+        Error::new(Kind::Internal, detail)
+    })
 }
 
 struct Connections {
--- a/crates/eelgrassramp/src/entry/service.rs
+++ b/crates/eelgrassramp/src/entry/service.rs
@@ -262,6 +262,8 @@
             return Some(Ok(bytes));
         }
         if let Some(err) = self.failed.take() {
+            // The server writes out what it holds only when the body has nothing ready.
+            tokio::task::yield_now().await;
             self.is_over = true;
             return Some(Err(err));
         }
--- a/crates/eelgrassramp/src/entry/settings.rs
+++ b/crates/eelgrassramp/src/entry/settings.rs
@@ -135,6 +135,20 @@
     pub timeout_ms: u64,
 }
 
+impl DrainSettings {
+    /// Returns the time between telling the balancer and refusing new requests.
+    #[must_use]
+    pub const fn unready(&self) -> Duration {
+        Duration::from_millis(self.unready_ms)
+    }
+
+    /// Returns the time for running requests to end.
+    #[must_use]
+    pub const fn timeout(&self) -> Duration {
+        Duration::from_millis(self.timeout_ms)
+    }
+}
+
 impl Default for DrainSettings {
     fn default() -> Self {
         Self {
--- a/crates/eelgrassramp/tests/entry/fixture.rs
+++ b/crates/eelgrassramp/tests/entry/fixture.rs
@@ -386,6 +386,19 @@
     }
 }
 
+/// As [`tables`], with a model pool "texts" of the same endpoints and a route to it.
+pub fn tables_with_model(ports: &[u16]) -> Tables {
+    let mut tables = tables(ports);
+    let mut pool = Pool::clone(&tables.pools["cards"]);
+    pool.name = "texts".into();
+    pool.kind = PoolKind::Model;
+    let mut route = Route::clone(&route("texts", Tier::Interactive, false));
+    route.pool = "texts".into();
+    tables.routes.push(Arc::new(route));
+    tables.pools.insert(pool.name.clone(), Arc::new(pool));
+    tables
+}
+
 pub fn settings() -> Settings {
     let text = r#"{ "name": "entry-1", "listen": "127.0.0.1:1", "domain": "a", "region": "r",
         "store": "127.0.0.1:1" }"#;
--- a/crates/eelgrassramp/tests/entry/main.rs
+++ b/crates/eelgrassramp/tests/entry/main.rs
@@ -2,5 +2,7 @@
 
 mod faults;
 mod fixture;
+mod hostile;
+mod http;
 mod keys;
 mod orders;
