--- a/crates/eelgrassramp/src/entry/poll.rs
+++ b/crates/eelgrassramp/src/entry/poll.rs
@@ -64,8 +64,10 @@
         while let Ok(bytes) = rx.try_recv() {
             budget.saved += TYPICAL_BYTES - bytes;
         }
-        while budget.saved >= TYPICAL_BYTES {
-            let Some(target) = shared.lock().router.next_poll(now, MIN_POLL_INTERVAL) else {
+        loop {
+            // What is wanted at once may overdraw the budget; routine reports pay it back.
+            let interval = Some(MIN_POLL_INTERVAL).filter(|_| budget.saved >= TYPICAL_BYTES);
+            let Some(target) = shared.lock().router.next_poll(now, interval) else {
                 break;
             };
             budget.saved -= TYPICAL_BYTES;
--- a/crates/eelgrassramp/src/entry/service.rs
+++ b/crates/eelgrassramp/src/entry/service.rs
@@ -118,12 +118,19 @@
 
     /// Reads or extends what is known besides the tables: brakes, splits, leaving endpoints.
     ///
-    /// What is added spreads to sidecars with the next reports.
+    /// What is added spreads to sidecars at once.
     pub fn with_knowledge<T>(&self, f: impl FnOnce(&mut Knowledge) -> T) -> T {
         let now = self.shared.now();
         let mut core = self.shared.lock();
-        let out = f(core.router.knowledge_mut());
-        core.pump_all(now);
+        let knowledge = core.router.knowledge_mut();
+        let before = knowledge.changes();
+        let out = f(knowledge);
+        if knowledge.changes() != before {
+            core.router.want_all_reports();
+            core.pump_all(now);
+            drop(core);
+            self.shared.pressed.notify_one();
+        }
         out
     }
 
--- a/crates/eelgrassramp/src/routing/knowledge.rs
+++ b/crates/eelgrassramp/src/routing/knowledge.rs
@@ -22,12 +22,14 @@
     brakes: BTreeSet<Brake>,
     splits: BTreeMap<PoolName, PoolSplit>,
     leaving: BTreeSet<EndpointName>,
+    changes: u64,
 }
 
 impl Knowledge {
     /// Takes a brake; tells whether it is new.
     pub fn add_brake(&mut self, brake: Brake) -> bool {
-        self.brakes.insert(brake)
+        let is_new = self.brakes.insert(brake);
+        self.note(is_new)
     }
 
     /// Takes a split unless a higher one of its pool is known; tells whether it was taken.
@@ -39,12 +41,13 @@
         if !is_old {
             self.splits.insert(split.pool.clone(), split);
         }
-        !is_old
+        self.note(!is_old)
     }
 
     /// Takes the name of a leaving endpoint; tells whether it is new.
     pub fn add_leaving(&mut self, endpoint: EndpointName) -> bool {
-        self.leaving.insert(endpoint)
+        let is_new = self.leaving.insert(endpoint);
+        self.note(is_new)
     }
 
     /// Forgets that an endpoint was leaving, once its VM has been replaced.
@@ -52,6 +55,12 @@
         self.leaving.remove(endpoint);
     }
 
+    /// Returns how often something was added.
+    #[must_use]
+    pub const fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Returns all brakes.
     pub fn brakes(&self) -> impl Iterator<Item = &Brake> {
         self.brakes.iter()
@@ -121,6 +130,13 @@
     }
 }
 
+impl Knowledge {
+    fn note(&mut self, is_new: bool) -> bool {
+        self.changes += u64::from(is_new);
+        is_new
+    }
+}
+
 fn share(split: &PoolSplit, route: &RouteName) -> u64 {
     split
         .shares
--- a/crates/eelgrassramp/src/routing/router.rs
+++ b/crates/eelgrassramp/src/routing/router.rs
@@ -48,6 +48,9 @@
 /// Part of a cached prefix that counts while cache events are known to be missing.
 const UNSURE_PREFIX_FACTOR: f64 = 0.5;
 
+/// Time between two reports of one endpoint at least, when reports are wanted at once.
+const URGENT_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Bytes of prompt text that make one token.
 pub(crate) const BYTES_PER_TOKEN: usize = 4;
 
@@ -258,11 +261,8 @@
         target: &PollTarget,
         report: &Report,
     ) {
-        for brake in &report.brakes {
-            self.knowledge.add_brake(brake.clone());
-        }
-        if let Some(split) = &report.split {
-            self.knowledge.add_split(split.clone());
+        if self.learn(report) {
+            self.want_reports(&target.pool);
         }
         let Some(pool) = self.pools.get_mut(&target.pool) else {
             return;
@@ -277,6 +277,18 @@
         }
     }
 
+    /// Takes the brakes and the split of a report; tells whether something was new.
+    fn learn(&mut self, report: &Report) -> bool {
+        let mut is_new = false;
+        for brake in &report.brakes {
+            is_new |= self.knowledge.add_brake(brake.clone());
+        }
+        if let Some(split) = &report.split {
+            is_new |= self.knowledge.add_split(split.clone());
+        }
+        is_new
+    }
+
     /// Takes note that a sidecar did not answer a report.
     pub fn report_failed(&mut self, now: Monotonic, target: &PollTarget) {
         let Some(pool) = self.pools.get_mut(&target.pool) else {
@@ -290,8 +302,9 @@
 
     /// Returns the endpoint whose report is wanted most, and takes note that it is asked now.
     ///
-    /// No endpoint is asked more often than every `interval`.
-    pub fn next_poll(&mut self, now: Monotonic, interval: Duration) -> Option<PollTarget> {
+    /// No endpoint is asked more often than every `interval`, unless its report is wanted at
+    /// once; with no `interval` only such endpoints are asked.
+    pub fn next_poll(&mut self, now: Monotonic, interval: Option<Duration>) -> Option<PollTarget> {
         let mut best: Option<(Duration, PoolName, usize)> = None;
         for (name, pool) in &self.pools {
             for i in pool.all_subsets() {
@@ -319,10 +332,24 @@
         view.ask(now, i)
     }
 
-    /// Makes the endpoints of a pool due for a report.
+    /// Makes the endpoints of a pool due for a report, which also passes on what is known here.
     pub fn want_reports(&mut self, pool: &PoolName) {
-        if let Some(pool) = self.pools.get_mut(pool) {
-            pool.views.iter_mut().for_each(View::want_report);
+        let Some(pool) = self.pools.get_mut(pool) else {
+            return;
+        };
+        let subset: Vec<usize> = pool.all_subsets().collect();
+        for i in subset {
+            if let Some(view) = pool.views.get_mut(i) {
+                view.want_report();
+            }
+        }
+    }
+
+    /// Makes the endpoints of all pools due for a report.
+    pub fn want_all_reports(&mut self) {
+        let pools: Vec<PoolName> = self.pools.keys().cloned().collect();
+        for pool in pools {
+            self.want_reports(&pool);
         }
     }
 
@@ -597,14 +624,14 @@
 }
 
 /// Returns how long ago an endpoint was due to be asked; `None` when it is not due.
-fn overdue(view: &View, now: Monotonic, interval: Duration) -> Option<Duration> {
+fn overdue(view: &View, now: Monotonic, interval: Option<Duration>) -> Option<Duration> {
     let Some(asked) = view.asked_at else {
         return Some(Duration::MAX);
     };
-    if view.report_wanted {
+    if view.report_wanted && now.since(asked) >= URGENT_INTERVAL {
         return Some(Duration::MAX);
     }
-    if now.since(asked) < interval {
+    if now.since(asked) < interval? {
         return None;
     }
     Some(now.since(asked).min(view.staleness(now)))
