A refusal of a keyed request says 'not run' only when the key's home checked the key

Cause: an attempt that never left the entry was told as not run although the same key may have run through another entry before, so a caller could have charged again under a new key. Before: PoolUnavailable with ran no; after: ran maybe, shown by tests with each kind of refusal.

--- a/crates/eelgrassramp/src/entry/run.rs
+++ b/crates/eelgrassramp/src/entry/run.rs
@@ -186,10 +186,10 @@
                 Err(e) if is_order_refusal(&e, self.req.route.tier) => {
                     match self.wait_as_order(e).await {
                         Ok(()) => continue,
-                        Err(e) => return Ending::Failed(e, Ran::No),
+                        Err(e) => return self.unsent(e),
                     }
                 }
-                Err(e) => return Ending::Failed(e, Ran::No),
+                Err(e) => return self.unsent(e),
             };
             let flown = self
                 .fly(unsent, request, attempt, &candidate, home.as_ref())
@@ -203,7 +203,7 @@
                 .prepare_retry(&proof, &candidate, attempt, &mut tried, &mut backoff)
                 .await;
             if !again {
-                return Ending::Failed(proof.into_error(), Ran::No);
+                return self.given_up(proof);
             }
             if proof.source() == Source::Revoked {
                 // The sidecar refuses the revoked identity for good.
@@ -213,6 +213,27 @@
         }
     }
 
+    /// Ends a request of which this attempt sent nothing.
+    ///
+    /// With an idempotency key, an earlier attempt through another entry may have run.
+    fn unsent(&self, err: Error) -> Ending {
+        let ran = if self.req.key.is_some() {
+            Ran::Maybe
+        } else {
+            Ran::No
+        };
+        Ending::Failed(err, ran)
+    }
+
+    /// Ends a request that is not dispatched again though nothing of this attempt ran.
+    fn given_up(&self, proof: NotRun) -> Ending {
+        let home_knows = proof.source() == Source::Refused && tells_of_key(proof.kind());
+        if home_knows {
+            return Ending::Failed(proof.into_error(), Ran::No);
+        }
+        self.unsent(proof.into_error())
+    }
+
     /// Waits in the queue for an endpoint.
     async fn acquire(
         &self,
@@ -333,10 +354,7 @@
         };
         let Some(plan) = self.home_plan() else {
             let detail = format!("pool \"{}\" has no home for the key", self.req.pool.name);
-            return Err(Ending::Failed(
-                Error::new(Kind::PoolUnavailable, detail),
-                Ran::No,
-            ));
+            return Err(self.unsent(Error::new(Kind::PoolUnavailable, detail)));
         };
         for guard in &plan.guards {
             let msg = ClaimKey {
@@ -738,6 +756,22 @@
     }
 }
 
+/// Tells whether a refusal of this kind comes after the sidecar found that the idempotency key
+/// was never used.
+const fn tells_of_key(kind: Kind) -> bool {
+    matches!(
+        kind,
+        Kind::Overloaded
+            | Kind::Displaced
+            | Kind::DeadlineUnmeetable
+            | Kind::DeadlineExpired
+            | Kind::Draining
+            | Kind::Braked
+            | Kind::KeyReused
+            | Kind::BadRequest
+    )
+}
+
 fn is_order_refusal(err: &Error, tier: Tier) -> bool {
     tier == Tier::Order && err.kind() == Kind::Overloaded
 }
--- a/crates/eelgrassramp/tests/entry/http.rs
+++ b/crates/eelgrassramp/tests/entry/http.rs
@@ -6,7 +6,6 @@
 
 use eelgrassramp::Context;
 use eelgrassramp::entry::Service;
-use eelgrassramp::entry::Settings;
 use eelgrassramp::entry::serve_with;
 use eelgrassramp::link::SidecarLink;
 use eelgrassramp::tables::Current;
@@ -42,7 +41,7 @@
 
 impl Server {
     async fn start() -> Self {
-        let mut settings: Settings = settings();
+        let mut settings = settings();
         settings.limits.receive_ms = 300;
         settings.drain.unready_ms = 0;
         let cx = Context::quiet(3);
@@ -132,7 +131,7 @@
 
     expect_that!(resp.status().as_u16(), eq(200));
     let body = resp.into_body().collect().await.unwrap().to_bytes();
-    expect_that!(&body[..], eq(BODY));
+    expect_that!(&*body, eq(BODY));
 }
 
 #[googletest::test]
--- a/crates/eelgrassramp/tests/entry/keys.rs
+++ b/crates/eelgrassramp/tests/entry/keys.rs
@@ -22,6 +22,7 @@
 use crate::fixture::Reply;
 use crate::fixture::Script;
 use crate::fixture::endpoint;
+use crate::fixture::failed;
 use crate::fixture::request;
 use crate::fixture::sidecar;
 use crate::fixture::tables;
@@ -163,6 +164,54 @@
     expect_that!(fixture.link.state().claimed, is_empty());
 }
 
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn a_key_that_its_home_was_not_asked_about_may_have_run_before() {
+    let cases = [
+        (Script::NotSent, Ran::Maybe),
+        (
+            Script::Stream(vec![failed(Kind::StaleMark, Ran::No)]),
+            Ran::Maybe,
+        ),
+        (
+            Script::Stream(vec![failed(Kind::NotServed, Ran::No)]),
+            Ran::Maybe,
+        ),
+        (
+            Script::Stream(vec![failed(Kind::Draining, Ran::No)]),
+            Ran::No,
+        ),
+        (
+            Script::Stream(vec![failed(Kind::KeyReused, Ran::No)]),
+            Ran::No,
+        ),
+    ];
+    for (script, ran) in cases {
+        let fixture = Fixture::start(&[1, 2]).await;
+        fixture.set_up(|state| state.dispatch.extend(vec![script.clone(); 30]));
+
+        let got = fixture.call(keyed("{}")).await;
+
+        expect_that!(got.status, ge(400), "{script:?}");
+        expect_that!(got.ran, eq(ran), "{script:?}: {got:?}");
+    }
+}
+
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn a_key_used_at_a_former_home_that_is_gone_may_have_run() {
+    let ports = ports_with_last_as_home();
+    let fixture = Fixture::with_tables(tables_without(&ports[..3], ports[3])).await;
+    let used = KeyReply::Used(RequestId::from_bits(5));
+    fixture.set_up(|state| state.claim.push_back(Reply::Gives(used)));
+
+    let got = fixture.call(keyed("{}")).await;
+
+    expect_that!(got.status, ge(400), "{got:?}");
+    expect_that!(got.ran, eq(Ran::Maybe));
+    expect_that!(fixture.link.state().dispatched, is_empty());
+}
+
 #[googletest::test]
 fn a_home_moves_only_for_keys_of_the_endpoint_that_came_or_went() {
     let names: Vec<EndpointName> = (0..20).map(|p| endpoint(p).name.clone()).collect();
