--- a/crates/eelgrassramp/src/entry/service.rs
+++ b/crates/eelgrassramp/src/entry/service.rs
@@ -105,9 +105,8 @@
     /// Tells whether the entry can serve: it knows tables and an endpoint of every pool.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let has_tables = self.shared.tables_version().0 > 0;
         let is_stopping = self.shared.cx.stop.is_cancelled();
-        has_tables && !is_stopping && self.shared.lock().router.has_reports()
+        self.shared.has_tables() && !is_stopping && self.shared.lock().router.has_reports()
     }
 
     /// Returns the measured times for each tier and client account.
--- a/crates/eelgrassramp/src/entry/shared.rs
+++ b/crates/eelgrassramp/src/entry/shared.rs
@@ -20,7 +20,6 @@
 use crate::id::RequestId;
 use crate::id::TableVersion;
 use crate::link::SidecarLink;
-use crate::name::EndpointName;
 use crate::name::PoolName;
 use crate::num;
 use crate::process::Context;
@@ -29,6 +28,7 @@
 use crate::routing::PollTarget;
 use crate::tables::Current;
 use crate::tables::Route;
+use crate::tables::Spread;
 use crate::tables::Tables;
 use crate::time::Monotonic;
 use crate::time::Timers;
@@ -53,6 +53,7 @@
     pub pressed: Notify,
     link: Arc<dyn SidecarLink>,
     core: Mutex<Core>,
+    spread: Arc<Spread>,
     refreshing: Mutex<HashSet<SocketAddr>>,
 }
 
@@ -64,6 +65,12 @@
         cx: Context,
     ) -> Self {
         let core = Core::new(&settings, cx.rng("entry"));
+        let spread = Spread::start(
+            &cx,
+            Arc::clone(&tables),
+            Arc::clone(&link),
+            settings.peers.clone(),
+        );
         Self {
             settings,
             cx,
@@ -71,6 +78,7 @@
             pressed: Notify::new(),
             link,
             core: Mutex::new(core),
+            spread,
             refreshing: Mutex::default(),
         }
     }
@@ -95,6 +103,11 @@
         self.tables.get().version
     }
 
+    /// Tells whether the tables in force may be trusted.
+    pub fn has_tables(&self) -> bool {
+        self.tables_version().0 > 0 && self.spread.is_ready()
+    }
+
     /// Makes the router follow the tables in force.
     pub fn sync_tables(&self) {
         let tables = self.tables.get();
@@ -132,7 +145,8 @@
             core.pump(now, pool);
             core.router.knows_less(pool, &load)
         };
-        if knows_more || load.tables > self.tables_version() {
+        self.note_tables(endpoint.sidecar, load.tables);
+        if knows_more {
             let shared = Arc::clone(self);
             let pool = pool.clone();
             let candidate = candidate.clone();
@@ -189,7 +203,7 @@
         let call = self.link.report(target.sidecar, msg);
         let reply = self.timers().limit(REFRESH_TIMEOUT, call).await;
         let received = if let Some(Ok(report)) = reply {
-            self.take_report(target, asked, &report).await;
+            self.take_report(target, asked, &report);
             wire::to_bytes(&report).map_or(0, |b| b.len())
         } else {
             let now = self.now();
@@ -203,10 +217,15 @@
         bytes
     }
 
-    async fn take_report(&self, target: &PollTarget, asked: Monotonic, report: &Report) {
+    fn take_report(&self, target: &PollTarget, asked: Monotonic, report: &Report) {
         self.learn_report(target, asked, report);
-        if report.load.tables > self.tables_version() {
-            self.fetch_tables(target.sidecar).await;
+        self.note_tables(target.sidecar, report.load.tables);
+    }
+
+    /// Spreads the tables when the process at `from` knows others than this one.
+    fn note_tables(&self, from: SocketAddr, version: TableVersion) {
+        if version != self.tables_version() {
+            self.spread.observe(from, version);
         }
     }
 
@@ -223,7 +242,7 @@
         ReportRequest {
             tables: self.tables_version(),
             brakes: knowledge.brakes_of(&target.pool).cloned().collect(),
-            leaving: leaving_in(&core, &target.pool),
+            leaving: knowledge.leaving_of(&target.pool).cloned().collect(),
             split: knowledge.split(&target.pool).cloned(),
             outcomes: false,
             cache_seq: target.cache_seq,
@@ -268,13 +287,3 @@
         num::count(self.lock().gates.len())
     }
 }
-
-/// Returns the endpoints of a pool that are leaving.
-fn leaving_in(core: &Core, pool: &PoolName) -> Vec<EndpointName> {
-    let Some(pool) = core.router.pool(pool) else {
-        return Vec::new();
-    };
-    let here = |name: &&EndpointName| pool.endpoints.contains_key(*name);
-    let leaving = core.router.knowledge().leaving();
-    leaving.filter(here).cloned().collect()
-}
--- a/crates/eelgrassramp/src/routing/knowledge.rs
+++ b/crates/eelgrassramp/src/routing/knowledge.rs
@@ -21,7 +21,7 @@
 pub struct Knowledge {
     brakes: BTreeSet<Brake>,
     splits: BTreeMap<PoolName, PoolSplit>,
-    leaving: BTreeSet<EndpointName>,
+    leaving: BTreeMap<PoolName, BTreeSet<EndpointName>>,
     changes: u64,
 }
 
@@ -45,14 +45,14 @@
     }
 
     /// Takes the name of a leaving endpoint; tells whether it is new.
-    pub fn add_leaving(&mut self, endpoint: EndpointName) -> bool {
-        let is_new = self.leaving.insert(endpoint);
+    pub fn add_leaving(&mut self, pool: PoolName, endpoint: EndpointName) -> bool {
+        let is_new = self.leaving.entry(pool).or_default().insert(endpoint);
         self.note(is_new)
     }
 
-    /// Forgets that an endpoint was leaving, once its VM has been replaced.
-    pub fn remove_leaving(&mut self, endpoint: &EndpointName) {
-        self.leaving.remove(endpoint);
+    /// Forgets which endpoints were leaving, before all that still are are added again.
+    pub fn clear_leaving(&mut self) {
+        self.leaving.clear();
     }
 
     /// Returns how often something was added.
@@ -77,15 +77,20 @@
         self.splits.get(pool)
     }
 
-    /// Returns the names of leaving endpoints.
+    /// Returns the leaving endpoints of all pools.
     pub fn leaving(&self) -> impl Iterator<Item = &EndpointName> {
-        self.leaving.iter()
+        self.leaving.values().flatten()
+    }
+
+    /// Returns the leaving endpoints of one pool.
+    pub fn leaving_of(&self, pool: &PoolName) -> impl Iterator<Item = &EndpointName> {
+        self.leaving.get(pool).into_iter().flatten()
     }
 
     /// Tells whether an endpoint is leaving.
     #[must_use]
-    pub fn is_leaving(&self, endpoint: &EndpointName) -> bool {
-        self.leaving.contains(endpoint)
+    pub fn is_leaving(&self, pool: &PoolName, endpoint: &EndpointName) -> bool {
+        self.leaving.get(pool).is_some_and(|l| l.contains(endpoint))
     }
 
     /// Tells whether new work to a version is stopped.
--- a/crates/eelgrassramp/src/routing/router.rs
+++ b/crates/eelgrassramp/src/routing/router.rs
@@ -377,7 +377,7 @@
         };
         pool.views
             .iter()
-            .filter(|v| self.is_usable(now, v))
+            .filter(|v| self.is_usable(now, pool, v))
             .filter_map(View::load)
             .all(|load| load.floor == Tier::Order)
     }
@@ -390,7 +390,7 @@
         };
         pool.views
             .iter()
-            .filter(|v| self.is_usable(now, v))
+            .filter(|v| self.is_usable(now, pool, v))
             .map(View::speed)
             .sum()
     }
@@ -432,15 +432,18 @@
         }
         let subset = view.subset(version);
         let views = || subset.iter().filter_map(|i| view.views.get(*i));
-        let mut usable = views().filter(|v| self.is_usable(now, v)).peekable();
+        let mut usable = views()
+            .filter(|v| self.is_usable(now, view, v))
+            .peekable();
         if usable.peek().is_none() {
             return nothing_usable(view, subset) != Choice::Unreported;
         }
         self.policy.ignores_load() || usable.any(|v| v.has_room(tier))
     }
 
-    fn is_usable(&self, now: Monotonic, view: &View) -> bool {
-        view.is_usable(now) && !self.knowledge.is_leaving(&view.endpoint.name)
+    fn is_usable(&self, now: Monotonic, pool: &PoolView, view: &View) -> bool {
+        let name = &view.endpoint.name;
+        view.is_usable(now) && !self.knowledge.is_leaving(&pool.pool.name, name)
     }
 
     fn at_home(
@@ -506,7 +509,7 @@
         let mut usable: Vec<usize> = subset
             .iter()
             .copied()
-            .filter(|i| view(i).is_some_and(|v| self.is_usable(now, v)))
+            .filter(|i| view(i).is_some_and(|v| self.is_usable(now, pool, v)))
             .collect();
         let untried = |v: &View| !ask.tried.contains(&v.endpoint.name);
         let in_service = |v: &View| !v.health.is_ejected(now);
--- a/crates/eelgrassramp/tests/routing.rs
+++ b/crates/eelgrassramp/tests/routing.rs
@@ -376,7 +376,7 @@
         ..load()
     };
     let mut router = router(&["v1"; 3], &[load(), draining, load()]);
-    router.knowledge_mut().add_leaving(name(0));
+    router.knowledge_mut().add_leaving(pool_name(), name(0));
 
     let counts = Asking::new().counts(&mut router, at(1), 100);
 
