--- a/crates/eelgrassramp/src/entry/service.rs
+++ b/crates/eelgrassramp/src/entry/service.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
 use super::answer::Answer;
@@ -34,6 +35,8 @@
 use crate::error::Result;
 use crate::id::RequestId;
 use crate::link::SidecarLink;
+use crate::membership::Follower;
+use crate::membership::LeavingEndpoint;
 use crate::num;
 use crate::process::Context;
 use crate::routing::Knowledge;
@@ -133,6 +136,16 @@
         out
     }
 
+    /// Follows the endpoints that the platform lists as leaving, until the process stops.
+    pub fn follow_membership(&self, membership: &Arc<Follower>) {
+        // A second call would follow the same list once more.
+        if self.shared.membership.set(Arc::clone(membership)).is_ok() {
+            let stop = self.shared.cx.stop.clone();
+            let follow = follow_leaving(self.clone(), membership.leaving());
+            tokio::spawn(stop.run_until_cancelled_owned(follow));
+        }
+    }
+
     /// Waits until all requests have ended; no new ones may come.
     pub async fn drained(&self) {
         self.tracker.close();
@@ -310,3 +323,16 @@
 fn lost() -> Error {
     Error::new(Kind::Internal, "the request's task ended without an answer")
 }
+
+/// Keeps what is known of leaving endpoints as the platform's list tells.
+async fn follow_leaving(service: Service, mut list: watch::Receiver<Vec<LeavingEndpoint>>) {
+    while list.changed().await.is_ok() {
+        let listed = list.borrow_and_update().clone();
+        service.with_knowledge(|knowledge| {
+            knowledge.clear_leaving();
+            for row in listed {
+                knowledge.add_leaving(row.pool, row.endpoint);
+            }
+        });
+    }
+}
--- a/crates/eelgrassramp/src/entry/shared.rs
+++ b/crates/eelgrassramp/src/entry/shared.rs
@@ -5,12 +5,12 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::time::Duration;
 
 use cadence::prelude::*;
 use slog::debug;
-use slog::warn;
 use tokio::sync::Notify;
 
 use super::core::Core;
@@ -20,6 +20,7 @@
 use crate::id::RequestId;
 use crate::id::TableVersion;
 use crate::link::SidecarLink;
+use crate::membership::Follower;
 use crate::name::PoolName;
 use crate::num;
 use crate::process::Context;
@@ -29,7 +30,6 @@
 use crate::tables::Current;
 use crate::tables::Route;
 use crate::tables::Spread;
-use crate::tables::Tables;
 use crate::time::Monotonic;
 use crate::time::Timers;
 use crate::wire;
@@ -49,11 +49,14 @@
     pub settings: Settings,
     pub cx: Context,
     pub tables: Arc<Current>,
+    /// Spreads the tables among this entry and the sidecars.
+    pub spread: Arc<Spread>,
+    /// Who takes part, in a process that reads the platform's list.
+    pub membership: OnceLock<Arc<Follower>>,
     /// Wakes the polling loop when reports are wanted at once.
     pub pressed: Notify,
     link: Arc<dyn SidecarLink>,
     core: Mutex<Core>,
-    spread: Arc<Spread>,
     refreshing: Mutex<HashSet<SocketAddr>>,
 }
 
@@ -65,20 +68,17 @@
         cx: Context,
     ) -> Self {
         let core = Core::new(&settings, cx.rng("entry"));
-        let spread = Spread::start(
-            &cx,
-            Arc::clone(&tables),
-            Arc::clone(&link),
-            settings.peers.clone(),
-        );
+        let peers = settings.peers.clone();
+        let spread = Spread::start(&cx, Arc::clone(&tables), Arc::clone(&link), peers);
         Self {
             settings,
             cx,
             tables,
+            spread,
+            membership: OnceLock::new(),
             pressed: Notify::new(),
             link,
             core: Mutex::new(core),
-            spread,
             refreshing: Mutex::default(),
         }
     }
@@ -138,6 +138,7 @@
     ) {
         let now = self.now();
         let endpoint = &candidate.endpoint;
+        self.note_sidecar(endpoint.sidecar, &load);
         let knows_more = {
             let mut core = self.lock();
             core.router
@@ -145,8 +146,7 @@
             core.pump(now, pool);
             core.router.knows_less(pool, &load)
         };
-        self.note_tables(endpoint.sidecar, load.tables);
-        if knows_more {
+        if knows_more || load.tables > self.tables_version() {
             let shared = Arc::clone(self);
             let pool = pool.clone();
             let candidate = candidate.clone();
@@ -179,19 +179,16 @@
     }
 
     async fn fetch_tables(&self, sidecar: SocketAddr) {
-        let call = self.link.tables(sidecar);
-        let Some(Ok(snapshot)) = self.timers().limit(REFRESH_TIMEOUT, call).await else {
-            return;
-        };
-        match Tables::from_snapshot(&snapshot) {
-            Ok(tables) => {
-                self.tables.offer(tables);
-                self.sync_tables();
-            }
-            Err(e) => {
-                warn!(self.cx.log, "tables from a sidecar are invalid";
-                    "sidecar" => %sidecar, "error" => %e);
-            }
+        if self.spread.refresh(sidecar).await {
+            self.sync_tables();
+        }
+    }
+
+    /// Notes the tables that a sidecar knows and its life.
+    fn note_sidecar(&self, sidecar: SocketAddr, load: &Load) {
+        self.spread.observe(sidecar, load.tables);
+        if let Some(membership) = self.membership.get() {
+            membership.note_life(sidecar, load.incarnation);
         }
     }
 
@@ -203,7 +200,7 @@
         let call = self.link.report(target.sidecar, msg);
         let reply = self.timers().limit(REFRESH_TIMEOUT, call).await;
         let received = if let Some(Ok(report)) = reply {
-            self.take_report(target, asked, &report);
+            self.take_report(target, asked, &report).await;
             wire::to_bytes(&report).map_or(0, |b| b.len())
         } else {
             let now = self.now();
@@ -217,15 +214,11 @@
         bytes
     }
 
-    fn take_report(&self, target: &PollTarget, asked: Monotonic, report: &Report) {
+    async fn take_report(&self, target: &PollTarget, asked: Monotonic, report: &Report) {
         self.learn_report(target, asked, report);
-        self.note_tables(target.sidecar, report.load.tables);
-    }
-
-    /// Spreads the tables when the process at `from` knows others than this one.
-    fn note_tables(&self, from: SocketAddr, version: TableVersion) {
-        if version != self.tables_version() {
-            self.spread.observe(from, version);
+        self.note_sidecar(target.sidecar, &report.load);
+        if report.load.tables > self.tables_version() {
+            self.fetch_tables(target.sidecar).await;
         }
     }
 
--- a/crates/eelgrassramp/src/routing/router.rs
+++ b/crates/eelgrassramp/src/routing/router.rs
@@ -432,9 +432,7 @@
         }
         let subset = view.subset(version);
         let views = || subset.iter().filter_map(|i| view.views.get(*i));
-        let mut usable = views()
-            .filter(|v| self.is_usable(now, view, v))
-            .peekable();
+        let mut usable = views().filter(|v| self.is_usable(now, view, v)).peekable();
         if usable.peek().is_none() {
             return nothing_usable(view, subset) != Choice::Unreported;
         }
