--- a/crates/eelgrassramp/src/entry/shared.rs
+++ b/crates/eelgrassramp/src/entry/shared.rs
@@ -21,7 +21,6 @@
 use crate::id::TableVersion;
 use crate::link::SidecarLink;
 use crate::membership::Follower;
-use crate::name::EndpointName;
 use crate::name::PoolName;
 use crate::num;
 use crate::process::Context;
@@ -104,6 +103,11 @@
         self.tables.get().version
     }
 
+    /// Tells whether the tables in force may be trusted.
+    pub fn has_tables(&self) -> bool {
+        self.tables_version().0 > 0 && self.spread.is_ready()
+    }
+
     /// Makes the router follow the tables in force.
     pub fn sync_tables(&self) {
         let tables = self.tables.get();
@@ -231,7 +235,7 @@
         ReportRequest {
             tables: self.tables_version(),
             brakes: knowledge.brakes_of(&target.pool).cloned().collect(),
-            leaving: leaving_in(&core, &target.pool),
+            leaving: knowledge.leaving_of(&target.pool).cloned().collect(),
             split: knowledge.split(&target.pool).cloned(),
             outcomes: false,
             cache_seq: target.cache_seq,
@@ -276,13 +280,3 @@
         num::count(self.lock().gates.len())
     }
 }
-
-/// Returns the endpoints of a pool that are leaving.
-fn leaving_in(core: &Core, pool: &PoolName) -> Vec<EndpointName> {
-    let Some(pool) = core.router.pool(pool) else {
-        return Vec::new();
-    };
-    let here = |name: &&EndpointName| pool.endpoints.contains_key(*name);
-    let leaving = core.router.knowledge().leaving();
-    leaving.filter(here).cloned().collect()
-}
