--- a/crates/eelgrassramp/src/lib.rs
+++ b/crates/eelgrassramp/src/lib.rs
@@ -26,6 +26,7 @@
 mod name;
 pub mod num;
 mod process;
+pub mod rollout;
 pub mod store;
 pub mod tables;
 mod tier;
--- /dev/null
+++ b/crates/eelgrassramp/src/rollout/judge.rs
@@ -0,0 +1,279 @@
+//! Judges a new version from what endpoints report.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use super::sequential::Badness;
+use super::sequential::Comparison;
+use super::sequential::Sample;
+use crate::id::Incarnation;
+use crate::name::EndpointName;
+use crate::name::RouteName;
+use crate::name::VersionName;
+use crate::tier::Tier;
+use crate::wire::Load;
+use crate::wire::Outcomes;
+
+/// Least share of a series that the other endpoints must serve before one can be an outlier.
+const LEAST_SHARE_OF_OTHERS: f64 = 0.1;
+
+/// Weight of a new report in the moving average of an endpoint's load.
+const FULLNESS_SMOOTHING: f64 = 0.25;
+
+/// The requests that are judged together.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Series {
+    /// The route.
+    pub route: RouteName,
+    /// The tier.
+    pub tier: Tier,
+}
+
+/// A version was found bad, and why.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Finding {
+    /// Where it showed.
+    pub series: Series,
+    /// How it showed.
+    pub badness: Badness,
+    /// What was seen, in words.
+    pub evidence: String,
+}
+
+/// Compares two versions of one pool, window by window.
+///
+/// Feed it with [`Judge::report`], and end each window with [`Judge::close_window`].
+#[derive(Debug)]
+pub struct Judge {
+    old: VersionName,
+    new: VersionName,
+    known: BTreeMap<Source, Known>,
+    fullness: BTreeMap<EndpointName, f64>,
+    series: BTreeMap<Series, Record>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Source {
+    endpoint: EndpointName,
+    series: Series,
+    version: VersionName,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    incarnation: Incarnation,
+    total: Sample,
+}
+
+#[derive(Debug, Default)]
+struct Record {
+    window_old: Sample,
+    window_new: BTreeMap<EndpointName, Sample>,
+    old: Sample,
+    new: Sample,
+    by_endpoint: BTreeMap<EndpointName, OneEndpoint>,
+    all: Comparison,
+}
+
+#[derive(Debug)]
+struct OneEndpoint {
+    total: Sample,
+    others: Comparison,
+}
+
+impl Judge {
+    /// Creates a judge of `new` against `old`.
+    #[must_use]
+    pub const fn new(old: VersionName, new: VersionName) -> Self {
+        Self {
+            old,
+            new,
+            known: BTreeMap::new(),
+            fullness: BTreeMap::new(),
+            series: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in the counters of one sidecar, which grow from that sidecar's start.
+    ///
+    /// The first counters of a sidecar are a starting point only, as what they count may have
+    /// happened long before this judge began; but a charge that ran twice counts at any time.
+    pub fn report(&mut self, endpoint: &EndpointName, load: &Load, outcomes: &[Outcomes]) {
+        let fullness = self.fullness(endpoint, load);
+        for counters in outcomes {
+            if counters.version != self.old && counters.version != self.new {
+                continue;
+            }
+            let source = Source {
+                endpoint: endpoint.clone(),
+                series: Series {
+                    route: counters.route.clone(),
+                    tier: counters.tier,
+                },
+                version: counters.version.clone(),
+            };
+            let total = Sample::from(counters);
+            let mut change = self.change(&source, load.incarnation, total);
+            change.load_sum = fullness * change.ok as f64;
+            self.add(&source, &change);
+        }
+    }
+
+    /// Ends the window and returns the first series in which the new version is bad.
+    pub fn close_window(&mut self) -> Option<Finding> {
+        let mut found = None;
+        for (series, record) in &mut self.series {
+            if let Some(badness) = record.close_window() {
+                found = found.or_else(|| Some(record.to_finding(series, badness)));
+            }
+        }
+        found
+    }
+
+    /// Returns how many requests of a route the new version has answered or failed.
+    #[must_use]
+    pub fn judged(&self, route: &RouteName) -> u64 {
+        let of_route = self.series.iter().filter(|(s, _)| s.route == *route);
+        of_route.map(|(_, record)| record.new.requests()).sum()
+    }
+
+    /// Returns how many requests of a route both versions have answered or failed.
+    #[must_use]
+    pub fn seen(&self, route: &RouteName) -> u64 {
+        let of_route = self.series.iter().filter(|(s, _)| s.route == *route);
+        of_route
+            .map(|(_, record)| record.new.requests() + record.old.requests())
+            .sum()
+    }
+
+    /// Returns how full the endpoint's batch was of late.
+    fn fullness(&mut self, endpoint: &EndpointName, load: &Load) -> f64 {
+        let now = f64::from(load.running) / f64::from(load.slots.max(1));
+        let known = self.fullness.entry(endpoint.clone()).or_insert(now);
+        *known += FULLNESS_SMOOTHING * (now - *known);
+        *known
+    }
+
+    fn change(&mut self, source: &Source, incarnation: Incarnation, total: Sample) -> Sample {
+        let known = self
+            .known
+            .insert(source.clone(), Known { incarnation, total });
+        match known {
+            Some(known) if known.incarnation == incarnation => {
+                if total.requests() < known.total.requests() {
+                    // An older report overtaken by a newer one brings nothing.
+                    self.known.insert(source.clone(), known);
+                    return Sample::default();
+                }
+                total.without(&known.total)
+            }
+            // A restarted sidecar counts from zero.
+            Some(_) => total,
+            None => Sample {
+                duplicated: total.duplicated,
+                ..Sample::default()
+            },
+        }
+    }
+
+    fn add(&mut self, source: &Source, change: &Sample) {
+        let record = self.series.entry(source.series.clone()).or_default();
+        if source.version == self.new {
+            let sample = record.window_new.entry(source.endpoint.clone());
+            sample.or_default().add(change);
+        } else {
+            record.window_old.add(change);
+        }
+    }
+}
+
+impl Record {
+    fn close_window(&mut self) -> Option<Badness> {
+        let old = std::mem::take(&mut self.window_old);
+        let by_endpoint = std::mem::take(&mut self.window_new);
+        let mut new = Sample::default();
+        for (endpoint, sample) in &by_endpoint {
+            new.add(sample);
+            self.of_endpoint(endpoint).total.add(sample);
+        }
+        for (endpoint, one) in &mut self.by_endpoint {
+            let own = by_endpoint.get(endpoint).copied().unwrap_or_default();
+            one.others.add(&new.without(&own), &old);
+        }
+        self.all.add(&new, &old);
+        self.new.add(&new);
+        self.old.add(&old);
+        self.verdict()
+    }
+
+    fn of_endpoint(&mut self, endpoint: &EndpointName) -> &mut OneEndpoint {
+        let all = &self.all;
+        let one = self.by_endpoint.entry(endpoint.clone());
+        one.or_insert_with(|| OneEndpoint {
+            total: Sample::default(),
+            others: all.clone(),
+        })
+    }
+
+    /// A version is bad when it is so even without its worst endpoint.
+    fn verdict(&self) -> Option<Badness> {
+        if self.new.duplicated > 0 {
+            return Some(Badness::Duplicated);
+        }
+        let badness = self.all.verdict()?;
+        let served = self.new.requests() as f64;
+        let is_outlier = self.by_endpoint.values().any(|one| {
+            let others = served - one.total.requests() as f64;
+            others >= LEAST_SHARE_OF_OTHERS * served && one.others.verdict().is_none()
+        });
+        (!is_outlier).then_some(badness)
+    }
+
+    fn to_finding(&self, series: &Series, badness: Badness) -> Finding {
+        let mut evidence = format!("route \"{}\", tier {}: ", series.route, series.tier);
+        let (new, old) = (&self.new, &self.old);
+        let words = match badness {
+            Badness::Duplicated => write!(
+                evidence,
+                "{} of {} charges ran more than once",
+                new.duplicated,
+                new.requests(),
+            ),
+            Badness::Failing => write!(
+                evidence,
+                "{} of {} requests failed, against {} of {} on the old version",
+                new.failed,
+                new.requests(),
+                old.failed,
+                old.requests(),
+            ),
+            Badness::Slow => write!(
+                evidence,
+                "{:.2} times the predicted time over {} requests, against {:.2} over {} on the old version",
+                new.slowness(),
+                new.requests(),
+                old.slowness(),
+                old.requests(),
+            ),
+        };
+        words.expect("writing to a string succeeds");
+        Finding {
+            series: series.clone(),
+            badness,
+            evidence,
+        }
+    }
+}
+
+impl From<&Outcomes> for Sample {
+    fn from(outcomes: &Outcomes) -> Self {
+        Self {
+            ok: outcomes.ok,
+            failed: outcomes.failed,
+            duplicated: outcomes.duplicated,
+            log_sum: outcomes.log_slowness_sum,
+            log_square_sum: outcomes.log_slowness_square_sum,
+            load_sum: 0.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/eelgrassramp/src/rollout/loads.rs
@@ -0,0 +1,127 @@
+//! Orders to load a version, within the budget of the weight store.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::name::EndpointName;
+use crate::name::VersionName;
+use crate::tables::Endpoint;
+use crate::tables::Pool;
+use crate::time::Monotonic;
+
+/// Time after which the version that an endpoint reported counts as unknown.
+const REPORT_LIFE: Duration = Duration::from_secs(15);
+
+/// Time after which an order without a reply may be sent again.
+const ORDER_LIFE: Duration = Duration::from_mins(2);
+
+/// What each endpoint serves, and which of them loads.
+#[derive(Debug)]
+pub(super) struct Loads {
+    interval: Duration,
+    next_at: Monotonic,
+    in_flight: Option<(EndpointName, Monotonic)>,
+    served: BTreeMap<EndpointName, (VersionName, Monotonic)>,
+}
+
+/// How many of the endpoints that are to serve a version do so.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Loaded {
+    pub(super) serving: usize,
+    pub(super) wanted: usize,
+}
+
+impl Loaded {
+    /// Tells whether enough endpoints serve the version to take most of the traffic.
+    pub(super) const fn is_most(self) -> bool {
+        self.serving > 0 && self.serving * 10 >= self.wanted * 8
+    }
+}
+
+impl Loads {
+    pub(super) const fn new(interval: Duration) -> Self {
+        Self {
+            interval,
+            next_at: Monotonic::ZERO,
+            in_flight: None,
+            served: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn reported(
+        &mut self,
+        now: Monotonic,
+        endpoint: &EndpointName,
+        version: &VersionName,
+    ) {
+        let served = (version.clone(), now);
+        self.served.insert(endpoint.clone(), served);
+    }
+
+    pub(super) fn ended(&mut self, endpoint: &EndpointName) {
+        let is_this = self.in_flight.as_ref().is_some_and(|(e, _)| e == endpoint);
+        if is_this {
+            self.in_flight = None;
+        }
+    }
+
+    /// Returns how far the endpoints of `version` are.
+    pub(super) fn loaded(&self, now: Monotonic, pool: &Pool, version: &VersionName) -> Loaded {
+        let wanted = wanted(pool, version);
+        let serving = wanted
+            .iter()
+            .filter(|e| self.serves(now, &e.name, version) == Some(true))
+            .count();
+        Loaded {
+            serving,
+            wanted: wanted.len(),
+        }
+    }
+
+    /// Chooses the endpoint that is ordered to load `version` now, and counts the order.
+    pub(super) fn next<'a>(
+        &mut self,
+        now: Monotonic,
+        pool: &'a Pool,
+        version: &VersionName,
+    ) -> Option<&'a Endpoint> {
+        let is_busy = self
+            .in_flight
+            .as_ref()
+            .is_some_and(|(_, since)| now.since(*since) < ORDER_LIFE);
+        if is_busy || now < self.next_at {
+            return None;
+        }
+        let endpoint = wanted(pool, version)
+            .into_iter()
+            .find(|e| self.serves(now, &e.name, version) == Some(false))?;
+        self.in_flight = Some((endpoint.name.clone(), now));
+        self.next_at = now + self.interval;
+        Some(endpoint)
+    }
+
+    /// Forgets endpoints that are not in the pool any more.
+    pub(super) fn retain(&mut self, pool: &Pool) {
+        let names: BTreeSet<_> = pool.endpoints.keys().collect();
+        self.served.retain(|name, _| names.contains(name));
+    }
+
+    fn serves(
+        &self,
+        now: Monotonic,
+        endpoint: &EndpointName,
+        version: &VersionName,
+    ) -> Option<bool> {
+        let (served, at) = self.served.get(endpoint)?;
+        (now.since(*at) < REPORT_LIFE).then(|| served == version)
+    }
+}
+
+fn wanted<'a>(pool: &'a Pool, version: &VersionName) -> Vec<&'a Endpoint> {
+    let endpoints = pool.endpoints.values();
+    endpoints
+        .filter(|e| e.version == *version && !e.leaving)
+        .map(|e| &**e)
+        .collect()
+}
--- /dev/null
+++ b/crates/eelgrassramp/src/rollout/mover.rs
@@ -0,0 +1,422 @@
+//! The core that advances the move of one pool, or takes it back.
+
+mod advance;
+mod record;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jiff::Timestamp;
+use rand::rngs::StdRng;
+
+use self::advance::Ground;
+use self::record::Record;
+use super::judge::Judge;
+use super::loads::Loads;
+use super::message::MoveAction;
+use super::message::MoveEvent;
+use super::pace::Rates;
+use super::progress::Phase;
+use super::progress::Progress;
+use crate::id::FencingToken;
+use crate::id::RequestId;
+use crate::id::TableVersion;
+use crate::name::PoolName;
+use crate::name::RouteName;
+use crate::name::VersionName;
+use crate::tables::Pool;
+use crate::tables::Route;
+use crate::time::Monotonic;
+use crate::wire::Brake;
+use crate::wire::EngineAction;
+use crate::wire::EngineOrder;
+use crate::wire::PoolSplit;
+use crate::wire::Report;
+use crate::wire::RouteShare;
+use crate::wire::SplitSeq;
+
+/// Names a move: a later move to the same version has a higher table version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct MoveId {
+    tables: TableVersion,
+    old: VersionName,
+    new: VersionName,
+}
+
+#[derive(Debug)]
+struct Watched {
+    id: MoveId,
+    judge: Judge,
+    rates: Rates,
+}
+
+/// When a route reached its step, and what had been judged of it by then.
+#[derive(Debug, Clone, Copy)]
+struct Reached {
+    at: Monotonic,
+    judged: u64,
+}
+
+/// The move of one pool as one process sees it.
+///
+/// Only a process that holds the pool's lease gets actions that go forward. A [`MoveAction::Brake`]
+/// needs no lease: any process that sees badness asks for it at once.
+#[derive(Debug)]
+pub struct Mover {
+    pool: Arc<Pool>,
+    routes: Vec<Arc<Route>>,
+    tables: TableVersion,
+    rng: StdRng,
+    token: Option<FencingToken>,
+    record: Record,
+    watched: Option<Watched>,
+    brakes: BTreeMap<(VersionName, TableVersion), String>,
+    reached: BTreeMap<RouteName, Reached>,
+    watch_since: Option<Monotonic>,
+    loads: Loads,
+    split: Option<PoolSplit>,
+    split_steps: u32,
+}
+
+impl Mover {
+    /// Creates the core for the row `pool`, which has just come into force with `tables`.
+    ///
+    /// `load_interval` is the least time between two orders of this process to load a version
+    /// for this pool, its part of the weight store's budget.
+    #[must_use]
+    pub const fn new(
+        tables: TableVersion,
+        pool: Arc<Pool>,
+        routes: Vec<Arc<Route>>,
+        load_interval: Duration,
+        rng: StdRng,
+    ) -> Self {
+        Self {
+            pool,
+            routes,
+            tables,
+            rng,
+            token: None,
+            record: Record::new(),
+            watched: None,
+            brakes: BTreeMap::new(),
+            reached: BTreeMap::new(),
+            watch_since: None,
+            loads: Loads::new(load_interval),
+            split: None,
+            split_steps: 0,
+        }
+    }
+
+    /// Returns the progress as this process last read or wrote it.
+    #[must_use]
+    pub const fn progress(&self) -> Option<&Progress> {
+        self.record.progress()
+    }
+
+    /// Returns the pool's name.
+    #[must_use]
+    pub fn pool(&self) -> &PoolName {
+        &self.pool.name
+    }
+
+    /// Takes one event and returns what has to be done.
+    ///
+    /// `wall` is the time of day, which only the date of the move is compared with.
+    pub fn handle(&mut self, now: Monotonic, wall: Timestamp, event: MoveEvent) -> Vec<MoveAction> {
+        let mut actions = Vec::new();
+        match event {
+            MoveEvent::Tick => self.tick(now, &mut actions),
+            MoveEvent::Tables {
+                version,
+                pool,
+                routes,
+            } => self.adopt_tables(version, pool, routes),
+            MoveEvent::Lease(token) => self.adopt_token(token),
+            MoveEvent::ProgressRead { version, progress } => {
+                self.record.read(version, progress);
+                self.adopt_record(now);
+            }
+            MoveEvent::ReadFailed => self.record.read_failed(now),
+            MoveEvent::Written(version) => {
+                self.record.written(version);
+                self.adopt_record(now);
+            }
+            MoveEvent::WriteFailed(kind) => self.record.write_failed(now, kind),
+            MoveEvent::Report(report) => self.take_report(now, &report),
+            MoveEvent::Ordered { endpoint, reply } => {
+                self.loads.ended(&endpoint);
+                if let Some(reply) = reply.filter(|r| r.done) {
+                    self.loads.reported(now, &endpoint, &reply.version);
+                }
+            }
+            MoveEvent::Brakes(brakes) => self.take_brakes(brakes),
+        }
+        self.go_forward(now, wall, &mut actions);
+        actions
+    }
+
+    fn tick(&mut self, now: Monotonic, actions: &mut Vec<MoveAction>) {
+        let Some(watched) = &mut self.watched else {
+            return;
+        };
+        let found = watched.judge.close_window();
+        let routes = self.routes.iter().map(|r| &r.name);
+        watched.rates.measure(now, &watched.judge, routes);
+        let key = (watched.id.new.clone(), watched.id.tables);
+        let Some(found) = found.filter(|_| !self.brakes.contains_key(&key)) else {
+            return;
+        };
+        self.brakes.insert(key, found.evidence.clone());
+        actions.push(MoveAction::Brake(Brake {
+            pool: self.pool.name.clone(),
+            version: watched.id.new.clone(),
+            tables: watched.id.tables,
+            evidence: found.evidence,
+        }));
+    }
+
+    fn adopt_tables(&mut self, version: TableVersion, pool: Arc<Pool>, routes: Vec<Arc<Route>>) {
+        if version > self.tables {
+            assert!(pool.name == self.pool.name, "the tables of another pool");
+            self.loads.retain(&pool);
+            self.tables = version;
+            self.pool = pool;
+            self.routes = routes;
+        }
+    }
+
+    fn adopt_token(&mut self, token: Option<FencingToken>) {
+        if token == self.token {
+            return;
+        }
+        self.token = token;
+        self.split = None;
+        self.split_steps = 0;
+        self.record.forget();
+        self.reached.clear();
+    }
+
+    /// Starts from what is stored, which may be the work of an earlier holder.
+    fn adopt_record(&mut self, now: Monotonic) {
+        let Some(progress) = self.record.progress().cloned() else {
+            return;
+        };
+        if let (Phase::TakenBack, Some(evidence)) = (progress.phase, &progress.evidence) {
+            let key = (progress.new.clone(), progress.tables);
+            self.brakes.entry(key).or_insert_with(|| evidence.clone());
+        }
+        self.watch(&MoveId {
+            tables: progress.tables,
+            old: progress.old,
+            new: progress.new,
+        });
+        if progress.phase == Phase::Watching {
+            self.watch_since.get_or_insert(now);
+        } else {
+            self.watch_since = None;
+        }
+    }
+
+    fn take_report(&mut self, now: Monotonic, report: &Report) {
+        if report.pool != self.pool.name {
+            return;
+        }
+        if let Some(split) = report.split.as_ref().filter(|s| s.pool == report.pool) {
+            self.watch(&MoveId {
+                tables: split.seq.tables,
+                old: split.old.clone(),
+                new: split.new.clone(),
+            });
+        }
+        self.loads.reported(now, &report.endpoint, &report.version);
+        self.take_brakes(report.brakes.clone());
+        if let Some(watched) = &mut self.watched {
+            let judge = &mut watched.judge;
+            judge.report(&report.endpoint, &report.load, &report.outcomes);
+        }
+    }
+
+    fn take_brakes(&mut self, brakes: Vec<Brake>) {
+        let own = brakes.into_iter().filter(|b| b.pool == self.pool.name);
+        for brake in own {
+            let key = (brake.version, brake.tables);
+            self.brakes.entry(key).or_insert(brake.evidence);
+        }
+    }
+
+    /// Watches a move, unless a later one is watched already.
+    fn watch(&mut self, id: &MoveId) {
+        let known = self.watched.as_ref().map(|w| w.id.tables);
+        if known.is_some_and(|tables| tables >= id.tables) {
+            return;
+        }
+        self.reached.clear();
+        self.watched = Some(Watched {
+            id: id.clone(),
+            judge: Judge::new(id.old.clone(), id.new.clone()),
+            rates: Rates::default(),
+        });
+    }
+
+    /// Acts for the move as long as this process holds the lease.
+    fn go_forward(&mut self, now: Monotonic, wall: Timestamp, actions: &mut Vec<MoveAction>) {
+        let Some(token) = self.token else {
+            return;
+        };
+        if self.record.wants_read(now) {
+            actions.push(MoveAction::ReadProgress);
+        }
+        if self.record.is_busy() || !self.record.is_known() {
+            return;
+        }
+        if self.record.progress().is_some_and(|p| p.fence > token) {
+            // A later holder has written: this process only believes that it holds the lease.
+            return;
+        }
+        if let Some(next) = self.next_progress(now, wall, token) {
+            let expected = self.record.write(next.clone());
+            actions.push(MoveAction::WriteProgress {
+                expected,
+                progress: Box::new(next),
+            });
+        }
+        self.order_load(now, token, actions);
+        self.set_split(token, actions);
+    }
+
+    fn next_progress(
+        &mut self,
+        now: Monotonic,
+        wall: Timestamp,
+        token: FencingToken,
+    ) -> Option<Progress> {
+        let stored = self.record.progress().cloned();
+        let ground = Ground {
+            now,
+            wall,
+            tables: self.tables,
+            pool: &self.pool,
+            routes: &self.routes,
+            watched: self.watched.as_ref(),
+            brakes: &self.brakes,
+            loads: &self.loads,
+            watch_since: self.watch_since,
+        };
+        let mut next = ground.advance(stored.as_ref(), &mut self.reached)?;
+        if stored.as_ref().is_some_and(|s| is_same_news(s, &next)) {
+            return None;
+        }
+        next.fence = token;
+        next.edit = RequestId::random(&mut self.rng);
+        next.updated = wall;
+        let was_taken_back = stored.filter(|s| s.phase == Phase::TakenBack);
+        assert!(
+            was_taken_back.is_none_or(|s| s.tables < next.tables || next.phase == Phase::TakenBack),
+            "a move that was taken back went forward again"
+        );
+        Some(next)
+    }
+
+    fn order_load(&mut self, now: Monotonic, token: FencingToken, actions: &mut Vec<MoveAction>) {
+        let Some(progress) = self.record.progress() else {
+            return;
+        };
+        let is_over = matches!(progress.phase, Phase::Waiting | Phase::TakenBack);
+        let is_wanted = self.pool.r#move.as_ref();
+        if is_over || is_wanted.is_none_or(|m| m.to != progress.new) {
+            return;
+        }
+        let Some(endpoint) = self.loads.next(now, &self.pool, &progress.new) else {
+            return;
+        };
+        actions.push(MoveAction::Order {
+            endpoint: endpoint.name.clone(),
+            sidecar: endpoint.sidecar,
+            order: EngineOrder {
+                pool: self.pool.name.clone(),
+                fence: token,
+                action: EngineAction::Load(progress.new.clone()),
+            },
+        });
+    }
+
+    /// Asks for the split that the stored progress gives, when it is another than before.
+    fn set_split(&mut self, token: FencingToken, actions: &mut Vec<MoveAction>) {
+        let Some(progress) = self.record.progress() else {
+            return;
+        };
+        let is_wanted = self
+            .pool
+            .r#move
+            .as_ref()
+            .is_some_and(|m| m.to == progress.new);
+        if !is_wanted || matches!(progress.phase, Phase::Waiting | Phase::Loading) {
+            return;
+        }
+        let shares = self.shares(progress);
+        if self.split.as_ref().is_some_and(|s| s.shares == shares) {
+            return;
+        }
+        self.split_steps += 1;
+        let split = PoolSplit {
+            pool: self.pool.name.clone(),
+            seq: SplitSeq {
+                tables: progress.tables,
+                fence: token,
+                step: self.split_steps,
+            },
+            old: progress.old.clone(),
+            new: progress.new.clone(),
+            shares,
+        };
+        self.split = Some(split.clone());
+        actions.push(MoveAction::Split(split));
+    }
+
+    fn shares(&self, progress: &Progress) -> Vec<RouteShare> {
+        let rates = self.watched.as_ref().map(|w| &w.rates);
+        let is_braked = progress.phase == Phase::TakenBack
+            || self
+                .brakes
+                .contains_key(&(progress.new.clone(), progress.tables));
+        let share = |route: &RouteName| {
+            if is_braked {
+                return 0;
+            }
+            let step = progress.step_of(route);
+            let before = self.split.as_ref().and_then(|s| share_of(s, route));
+            let per_second = rates.and_then(|r| r.per_second(route)).unwrap_or(0.0);
+            // The rate varies all the time, so a share stays as it is until the next step.
+            let share = step.share_permille(per_second);
+            before.filter(|b| step.is_share(*b)).unwrap_or(share)
+        };
+        self.routes
+            .iter()
+            .map(|r| RouteShare {
+                route: r.name.clone(),
+                to_new_permille: share(&r.name),
+            })
+            .collect()
+    }
+}
+
+fn share_of(split: &PoolSplit, route: &RouteName) -> Option<u16> {
+    let found = split.shares.iter().find(|s| s.route == *route);
+    found.map(|s| s.to_new_permille)
+}
+
+/// Time after which a changed reason for being late is written although nothing else changed.
+const REASON_LIFE: Duration = Duration::from_mins(5);
+
+/// Tells whether a write of `next` would tell nothing new.
+fn is_same_news(stored: &Progress, next: &Progress) -> bool {
+    let is_same_reason = stored.late.is_some() == next.late.is_some()
+        && super::pace::until(stored.updated, next.updated) < REASON_LIFE;
+    stored.tables == next.tables
+        && stored.phase == next.phase
+        && stored.routes == next.routes
+        && stored.evidence == next.evidence
+        && (is_same_reason || stored.late == next.late)
+}
--- /dev/null
+++ b/crates/eelgrassramp/src/rollout/mover/record.rs
@@ -0,0 +1,109 @@
+//! The stored progress as this process knows it, and the one call about it at a time.
+
+use std::time::Duration;
+
+use crate::error::Kind;
+use crate::id::ObjectVersion;
+use crate::rollout::Progress;
+use crate::time::Monotonic;
+
+/// Time between two attempts to reach the object API.
+const RETRY: Duration = Duration::from_secs(1);
+
+/// What is known of the object.
+#[derive(Debug, Clone)]
+struct Stored {
+    version: ObjectVersion,
+    progress: Option<Progress>,
+}
+
+#[derive(Debug)]
+enum Call {
+    Nothing,
+    Reading,
+    Writing(Box<Progress>),
+}
+
+/// The object `moves/<pool>` as this process knows it.
+#[derive(Debug)]
+pub(super) struct Record {
+    stored: Option<Stored>,
+    call: Call,
+    retry_at: Monotonic,
+}
+
+impl Record {
+    pub(super) const fn new() -> Self {
+        Self {
+            stored: None,
+            call: Call::Nothing,
+            retry_at: Monotonic::ZERO,
+        }
+    }
+
+    pub(super) const fn progress(&self) -> Option<&Progress> {
+        match &self.stored {
+            Some(stored) => stored.progress.as_ref(),
+            None => None,
+        }
+    }
+
+    pub(super) const fn is_known(&self) -> bool {
+        self.stored.is_some()
+    }
+
+    pub(super) const fn is_busy(&self) -> bool {
+        !matches!(self.call, Call::Nothing)
+    }
+
+    /// Tells whether the object has to be read, and counts that read as begun.
+    pub(super) fn wants_read(&mut self, now: Monotonic) -> bool {
+        let wanted = self.stored.is_none() && !self.is_busy() && now >= self.retry_at;
+        if wanted {
+            self.call = Call::Reading;
+        }
+        wanted
+    }
+
+    pub(super) fn read(&mut self, version: ObjectVersion, progress: Option<Progress>) {
+        self.call = Call::Nothing;
+        self.stored = Some(Stored { version, progress });
+    }
+
+    pub(super) fn read_failed(&mut self, now: Monotonic) {
+        self.call = Call::Nothing;
+        self.retry_at = now + RETRY;
+    }
+
+    /// Begins a write and returns the version that the object must still have.
+    pub(super) fn write(&mut self, next: Progress) -> ObjectVersion {
+        self.call = Call::Writing(Box::new(next));
+        let stored = self.stored.as_ref();
+        stored.map(|s| s.version).unwrap_or_default()
+    }
+
+    pub(super) fn written(&mut self, version: ObjectVersion) {
+        if let Call::Writing(progress) = std::mem::replace(&mut self.call, Call::Nothing) {
+            let progress = Some(*progress);
+            self.stored = Some(Stored { version, progress });
+        }
+    }
+
+    /// Ends a write that did not succeed.
+    ///
+    /// After a conflict or a lost reply the object is read again; it then holds this process's
+    /// value or another one, and either is where the move goes on from.
+    pub(super) fn write_failed(&mut self, now: Monotonic, kind: Kind) {
+        self.call = Call::Nothing;
+        self.retry_at = now + RETRY;
+        if kind != Kind::StoreUnavailable {
+            self.stored = None;
+        }
+    }
+
+    /// Forgets the object, because another process may have written it since.
+    pub(super) fn forget(&mut self) {
+        self.stored = None;
+        self.call = Call::Nothing;
+    }
+}
--- /dev/null
+++ b/crates/eelgrassramp/src/rollout/pace.rs
@@ -0,0 +1,161 @@
+//! How fast a move may go, and whether it will be done by its date.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use jiff::Timestamp;
+
+use super::judge::Judge;
+use super::ladder::Step;
+use crate::name::RouteName;
+use crate::tier::Tier;
+use crate::time::Monotonic;
+
+/// Least time that a step lasts.
+const LEAST_STEP: Duration = Duration::from_secs(20);
+
+/// Most time that a step lasts, so that a far date does not slow a move down for ever.
+const MOST_STEP: Duration = Duration::from_mins(10);
+
+/// Least time for which the last rest stays on the old version.
+const LEAST_WATCH: Duration = Duration::from_mins(1);
+
+/// Most time for which the last rest stays on the old version.
+const MOST_WATCH: Duration = Duration::from_mins(30);
+
+/// Share of the time to the date that is kept for the watch.
+const WATCH_SHARE: f64 = 0.25;
+
+/// Time before the date at which all has to be done.
+const MARGIN: Duration = Duration::from_secs(30);
+
+/// Weight of a new measurement in the rate of a route's requests.
+const RATE_SMOOTHING: f64 = 0.1;
+
+/// Time over which the rate of a route's requests is measured.
+const RATE_PERIOD: Duration = Duration::from_secs(5);
+
+/// One route that takes part in a move.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Part {
+    pub(super) route: RouteName,
+    pub(super) tier: Tier,
+    pub(super) step: Step,
+}
+
+/// The plan for the rest of a move.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Pace {
+    /// Least length of a step.
+    pub(super) step: Duration,
+    /// Length of the watch before the rest moves over.
+    pub(super) watch: Duration,
+    /// Why the move cannot be done by its date.
+    pub(super) late: Option<String>,
+}
+
+impl Pace {
+    /// Plans the rest of a move whose `parts` are at their steps, at the measured `rates`.
+    ///
+    /// A less urgent tier is one step ahead, so each tier that still waits for others adds one
+    /// step.
+    pub(super) fn plan(wall: Timestamp, by: Timestamp, parts: &[Part], rates: &Rates) -> Self {
+        let left = until(wall, by).saturating_sub(MARGIN);
+        let watch = left.mul_f64(WATCH_SHARE).clamp(LEAST_WATCH, MOST_WATCH);
+        let steps = steps_left(parts);
+        let room = left.saturating_sub(watch) / (steps + 1);
+        let step = room.clamp(LEAST_STEP, MOST_STEP);
+        Self {
+            step,
+            watch,
+            late: late(left, parts, rates),
+        }
+    }
+}
+
+fn steps_left(parts: &[Part]) -> u32 {
+    let most = parts.iter().map(|p| p.step.steps_left()).max();
+    let mut tiers: Vec<_> = parts.iter().map(|p| p.tier).collect();
+    tiers.sort_unstable();
+    tiers.dedup();
+    let behind = u32::try_from(tiers.len().saturating_sub(1)).unwrap_or(0);
+    most.map_or(0, |most| most + behind.min(most))
+}
+
+fn late(left: Duration, parts: &[Part], rates: &Rates) -> Option<String> {
+    for part in parts.iter().filter(|p| p.step < Step::NEARLY) {
+        let per_second = rates.per_second(&part.route)?;
+        let route = &part.route;
+        if per_second <= 0.0 {
+            if left <= LEAST_STEP * part.step.steps_left() + LEAST_WATCH {
+                return Some(format!(
+                    "route \"{route}\" has no requests to judge by, at {} of 5 steps",
+                    5 - part.step.steps_left(),
+                ));
+            }
+            continue;
+        }
+        let needed = part.step.time_left(per_second, LEAST_STEP)? + LEAST_WATCH;
+        if needed > left {
+            return Some(format!(
+                "route \"{route}\" needs {} s more at {per_second:.1} requests a second, {} s are left",
+                needed.as_secs(),
+                left.as_secs(),
+            ));
+        }
+    }
+    None
+}
+
+/// Returns the time from `wall` to `by`, or zero when it has passed.
+pub(super) fn until(wall: Timestamp, by: Timestamp) -> Duration {
+    Duration::try_from(by.duration_since(wall)).unwrap_or_default()
+}
+
+/// Measured rates of requests by route.
+#[derive(Debug, Default)]
+pub(super) struct Rates {
+    since: Option<Monotonic>,
+    routes: BTreeMap<RouteName, Rate>,
+}
+
+#[derive(Debug, Default)]
+struct Rate {
+    seen: u64,
+    per_second: Option<f64>,
+}
+
+impl Rates {
+    /// Takes in how many requests `judge` has seen by now.
+    pub(super) fn measure<'a>(
+        &mut self,
+        now: Monotonic,
+        judge: &Judge,
+        routes: impl Iterator<Item = &'a RouteName>,
+    ) {
+        let since = *self.since.get_or_insert(now);
+        let period = now.since(since);
+        if period < RATE_PERIOD {
+            return;
+        }
+        self.since = Some(now);
+        for route in routes {
+            let rate = self.routes.entry(route.clone()).or_default();
+            let seen = judge.seen(route);
+            let per_second = seen.saturating_sub(rate.seen) as f64 / period.as_secs_f64();
+            rate.seen = seen;
+            let before = rate.per_second.unwrap_or(per_second);
+            rate.per_second = Some(before + RATE_SMOOTHING * (per_second - before));
+        }
+    }
+
+    /// Tells whether any rate was measured yet.
+    pub(super) fn is_measured(&self) -> bool {
+        self.routes.values().any(|r| r.per_second.is_some())
+    }
+
+    /// Returns the requests a second of a route; `None` while it is not measured.
+    pub(super) fn per_second(&self, route: &RouteName) -> Option<f64> {
+        self.routes.get(route)?.per_second
+    }
+}
