Simulated moves and checks of single decisions for the core of moves

Cause: verdicts and steps need proof under faults, with known seeds. The step rule now keeps urgent routes one verdict behind less urgent ones.

--- a/crates/eelgrassramp/src/rollout/mover/advance.rs
+++ b/crates/eelgrassramp/src/rollout/mover/advance.rs
@@ -174,13 +174,14 @@
             && self.has_capacity(part.step.next(), next)
     }
 
-    /// Tells whether every less urgent route is at least at the step that `part` is to reach.
+    /// Tells whether every less urgent route has its verdict for the step that `part` is to
+    /// reach.
     fn less_urgent_lead(&self, part: &Part, parts: &[Part]) -> bool {
         let wanted = part.step.next();
         parts
             .iter()
             .filter(|p| p.tier > part.tier && self.seen(&p.route) > 0)
-            .all(|p| p.step >= wanted)
+            .all(|p| p.step > wanted || p.step >= Step::NEARLY)
     }
 
     fn has_capacity(&self, step: Step, next: &Progress) -> bool {
--- a/crates/eelgrassramp/src/rollout/sequential.rs
+++ b/crates/eelgrassramp/src/rollout/sequential.rs
@@ -163,6 +163,9 @@
 
     /// Tells whether the mean of the likelihood ratios is above the threshold.
     fn is_bad(&self) -> bool {
+        if self.sums.iter().all(|s| *s < threshold()) {
+            return false;
+        }
         let mixed: f64 = self.sums.iter().map(|s| s.exp()).sum();
         (mixed / N as f64).ln() >= threshold()
     }
--- /dev/null
+++ b/crates/eelgrassramp/tests/rollout/main.rs
@@ -0,0 +1,90 @@
+//! Checks of moves between versions: whole simulated moves and single decisions.
+
+mod decisions;
+mod judging;
+mod threshold;
+mod trial;
+mod world;
+
+use googletest::prelude::*;
+use trial::Ending;
+use trial::Policy;
+use trial::Setup;
+use world::Fault;
+use world::Weather;
+
+const CALM: Weather = Weather {
+    bursts: false,
+    slow_engines: false,
+    crashes: false,
+};
+
+const STORM: Weather = Weather {
+    bursts: true,
+    slow_engines: true,
+    crashes: true,
+};
+
+fn setup(fault: Fault, weather: Weather, policy: Policy) -> Setup {
+    Setup {
+        fault,
+        weather,
+        policy,
+        old: 10,
+        new: 10,
+        minutes: 80,
+    }
+}
+
+fn endings(setup: &Setup, moves: u64) -> Vec<Ending> {
+    (0..moves).map(|seed| trial::run(setup, seed)).collect()
+}
+
+#[gtest]
+fn a_good_version_moves_over_by_its_date_through_bursts_slow_engines_and_crashes() {
+    let setup = setup(Fault::None, STORM, Policy::Sequential);
+
+    let endings = endings(&setup, 3);
+
+    for ending in endings {
+        expect_that!(ending.taken_back_ms, none());
+        expect_that!(ending.is_done_in_time(), eq(true), "{ending:?}");
+    }
+}
+
+#[gtest]
+fn a_bad_version_is_taken_back_after_a_small_share_of_the_traffic() {
+    let faults = [
+        Fault::Fails(1.0),
+        Fault::Fails(0.2),
+        Fault::Slow(2.0),
+        Fault::FailsAfterSeconds(1_200, 0.2),
+        Fault::FailsOnRoute(3, 0.2),
+        Fault::FailsUnderLoad(0.2),
+        Fault::SlowUnderLoad(2.0),
+        Fault::Duplicates(0.05),
+    ];
+
+    for fault in faults {
+        let endings = endings(&setup(fault, CALM, Policy::Sequential), 2);
+
+        for ending in endings {
+            expect_that!(ending.fault_fired, eq(true), "{fault:?}");
+            expect_that!(ending.taken_back_ms, some(anything()), "{fault:?}");
+            expect_that!(ending.too_late, eq(0), "{fault:?}");
+            expect_that!(ending.bad * 100, le(ending.total), "{fault:?}");
+        }
+    }
+}
+
+#[gtest]
+fn the_verdict_comes_after_fewer_bad_requests_than_a_fixed_threshold_needs() {
+    let fault = Fault::Fails(1.0);
+
+    let sequential = endings(&setup(fault, CALM, Policy::Sequential), 2);
+    let threshold = endings(&setup(fault, CALM, Policy::FixedThreshold), 2);
+
+    for (sequential, threshold) in sequential.iter().zip(&threshold) {
+        expect_that!(sequential.bad, lt(threshold.bad));
+    }
+}
--- /dev/null
+++ b/crates/eelgrassramp/tests/rollout/trial.rs
@@ -0,0 +1,405 @@
+//! Runs one whole move of the simulated pool under a real [`Mover`] and tells how it ended.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassramp::EndpointName;
+use eelgrassramp::FencingToken;
+use eelgrassramp::Kind;
+use eelgrassramp::Monotonic;
+use eelgrassramp::ObjectVersion;
+use eelgrassramp::PoolName;
+use eelgrassramp::RouteName;
+use eelgrassramp::TableVersion;
+use eelgrassramp::VersionName;
+use eelgrassramp::num;
+use eelgrassramp::rollout::MoveAction;
+use eelgrassramp::rollout::MoveEvent;
+use eelgrassramp::rollout::Mover;
+use eelgrassramp::rollout::Phase;
+use eelgrassramp::rollout::Progress;
+use eelgrassramp::tables::Endpoint;
+use eelgrassramp::tables::FencingCheck;
+use eelgrassramp::tables::Move;
+use eelgrassramp::tables::Pool;
+use eelgrassramp::tables::PoolKind;
+use eelgrassramp::tables::Route;
+use eelgrassramp::wire::Brake;
+use eelgrassramp::wire::PoolSplit;
+use eelgrassramp::wire::Report;
+use jiff::Timestamp;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::threshold::FixedThreshold;
+use crate::world::Fault;
+use crate::world::NEW;
+use crate::world::OLD;
+use crate::world::POOL;
+use crate::world::ROUTES;
+use crate::world::Routed;
+use crate::world::Weather;
+use crate::world::World;
+
+const TICK_MS: u64 = 1_000;
+const WATCHED_AFTER_MS: u64 = 600_000;
+const TAKEOVER_MS: u64 = 12_000;
+const ENTRIES: usize = 3;
+const SPLIT_DELAY_MS: u64 = 300;
+const ALLOWED_AFTER_VERDICT_MS: u64 = 2_000;
+
+/// Who judges.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    /// The project's own tests.
+    Sequential,
+    /// A fixed threshold on windows of one minute.
+    FixedThreshold,
+}
+
+/// What is tried.
+#[derive(Debug, Clone, Copy)]
+pub struct Setup {
+    pub fault: Fault,
+    pub weather: Weather,
+    pub policy: Policy,
+    pub old: usize,
+    pub new: usize,
+    /// Most time from the beginning to the date, in minutes; at least half of it is given.
+    pub minutes: u64,
+}
+
+/// How one move ended.
+#[derive(Debug, Clone, Default)]
+pub struct Ending {
+    pub taken_back_ms: Option<u64>,
+    pub done_ms: Option<u64>,
+    pub by_ms: u64,
+    /// Requests that met the fault before the brake.
+    pub bad: u64,
+    /// Requests of the pool from the beginning to the date.
+    pub total: u64,
+    /// Dispatches to the new version later than 2 s after the verdict.
+    pub too_late: u64,
+    pub late_reason: Option<String>,
+    pub evidence: Option<String>,
+    /// Whether the fault ever met a request.
+    pub fault_fired: bool,
+}
+
+impl Ending {
+    pub fn is_done_in_time(&self) -> bool {
+        self.taken_back_ms.is_none() && self.done_ms.is_some_and(|at| at <= self.by_ms)
+    }
+}
+
+/// How the brake reaches the processes that stop new work.
+#[derive(Debug)]
+struct Spread {
+    verdict_ms: u64,
+    entries: [u64; ENTRIES],
+    sidecars: Vec<u64>,
+}
+
+impl Spread {
+    fn new(verdict_ms: u64, sidecars: usize, rng: &mut StdRng) -> Self {
+        let link = |rng: &mut StdRng| {
+            let mut delay = 5 + rng.random_range(0..100);
+            while rng.random::<f64>() < 0.05 {
+                delay += 500;
+            }
+            delay
+        };
+        Self {
+            verdict_ms,
+            // An entry learns it from the next answer or report, at least once a second.
+            entries: std::array::from_fn(|_| verdict_ms + rng.random_range(0..1_000)),
+            sidecars: (0..sidecars).map(|_| verdict_ms + link(rng)).collect(),
+        }
+    }
+
+    fn stops(&self, at_ms: u64, draw: f64) -> bool {
+        let pick = num::length(num::round_to_u64(draw * 1e9));
+        at_ms >= self.entries[pick % ENTRIES] || at_ms >= self.sidecars[pick % self.sidecars.len()]
+    }
+}
+
+struct Store {
+    version: ObjectVersion,
+    progress: Option<Progress>,
+    away: std::ops::Range<u64>,
+}
+
+struct Trial {
+    world: World,
+    mover: Mover,
+    rng: StdRng,
+    store: Store,
+    token: FencingToken,
+    start: Timestamp,
+    split: Option<(u64, PoolSplit)>,
+    spread: Option<Spread>,
+    simple: Option<FixedThreshold>,
+    ending: Ending,
+    new_endpoints: usize,
+}
+
+/// Runs the move with this seed.
+pub fn run(setup: &Setup, seed: u64) -> Ending {
+    let mut rng = StdRng::seed_from_u64(seed ^ 0x5eed);
+    let by_ms = rng.random_range(setup.minutes / 2..=setup.minutes) * 60_000;
+    let start = Timestamp::UNIX_EPOCH;
+    let pool = pool(setup, start + Duration::from_millis(by_ms));
+    let mut trial = Trial {
+        world: World::new(seed, setup.old, setup.new, setup.fault, setup.weather),
+        mover: mover(&pool, seed),
+        store: Store {
+            version: ObjectVersion(0),
+            progress: None,
+            away: outage(&mut rng, by_ms),
+        },
+        token: FencingToken(1),
+        start,
+        split: None,
+        spread: None,
+        simple: (setup.policy == Policy::FixedThreshold).then(FixedThreshold::default),
+        ending: Ending {
+            by_ms,
+            ..Ending::default()
+        },
+        new_endpoints: setup.new,
+        rng,
+    };
+    let dies_ms = trial.rng.random_range(0..by_ms) / TICK_MS * TICK_MS;
+    trial.tell(MoveEvent::Lease(Some(FencingToken(1))));
+    loop {
+        let now = trial.world.now_ms;
+        if now == dies_ms {
+            trial.replace_holder(&pool, seed);
+        }
+        trial.step(now + TICK_MS, now < by_ms);
+        let is_down = (dies_ms..dies_ms + TAKEOVER_MS).contains(&now);
+        if !is_down {
+            trial.observe();
+        }
+        if now == dies_ms + TAKEOVER_MS {
+            let token = trial.token;
+            trial.tell(MoveEvent::Lease(Some(token)));
+        }
+        if trial.is_over() {
+            break;
+        }
+    }
+    trial.finish()
+}
+
+impl Trial {
+    fn step(&mut self, until_ms: u64, counts: bool) {
+        let ending = &mut self.ending;
+        let split = &self.split;
+        let spread = &self.spread;
+        let choose = |at_ms: u64, route: usize, draw: f64| {
+            let Some((from_ms, split)) = split else {
+                return false;
+            };
+            let share = f64::from(split.shares[route].to_new_permille) / 1_000.0;
+            let is_stopped = spread.as_ref().is_some_and(|s| s.stops(at_ms, draw));
+            at_ms >= *from_ms && draw < share && !is_stopped
+        };
+        let verdict_ms = spread.as_ref().map(|s| s.verdict_ms);
+        let count = |at_ms: u64, routed: Routed| {
+            ending.total += u64::from(counts);
+            if let Routed::New { is_faulty } = routed {
+                ending.fault_fired |= is_faulty;
+                ending.bad += u64::from(is_faulty);
+                let is_late = verdict_ms.is_some_and(|v| at_ms > v + ALLOWED_AFTER_VERDICT_MS);
+                ending.too_late += u64::from(is_late);
+            }
+        };
+        self.world.advance(until_ms, choose, count);
+    }
+
+    fn observe(&mut self) {
+        let reports = self.world.reports();
+        let found = self.simple.as_mut().and_then(|simple| simple.add(&reports));
+        for mut report in reports {
+            if self.rng.random::<f64>() < 0.02 {
+                continue;
+            }
+            if self.simple.is_some() {
+                hide_badness(&mut report);
+            }
+            self.tell(MoveEvent::Report(Box::new(report)));
+        }
+        if let (Some(evidence), None) = (found, &self.spread) {
+            let brake = Brake {
+                pool: POOL.into(),
+                version: NEW.into(),
+                tables: TableVersion(1),
+                evidence,
+            };
+            self.brake(&brake);
+            self.tell(MoveEvent::Brakes(vec![brake]));
+        }
+        self.tell(MoveEvent::Tick);
+    }
+
+    fn tell(&mut self, event: MoveEvent) {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            let now = Monotonic::from_millis(self.world.now_ms);
+            let wall = self.start + Duration::from_millis(self.world.now_ms);
+            for action in self.mover.handle(now, wall, event) {
+                events.extend(self.act(action));
+            }
+        }
+    }
+
+    fn act(&mut self, action: MoveAction) -> Option<MoveEvent> {
+        let now = self.world.now_ms;
+        let is_away = self.store.away.contains(&now);
+        match action {
+            MoveAction::ReadProgress if is_away => Some(MoveEvent::ReadFailed),
+            MoveAction::ReadProgress => Some(MoveEvent::ProgressRead {
+                version: self.store.version,
+                progress: self.store.progress.clone(),
+            }),
+            MoveAction::WriteProgress { .. } if is_away => {
+                Some(MoveEvent::WriteFailed(Kind::StoreUnavailable))
+            }
+            MoveAction::WriteProgress { expected, progress } => {
+                Some(self.write(expected, *progress))
+            }
+            MoveAction::Split(split) => {
+                self.split = Some((now + SPLIT_DELAY_MS, split));
+                None
+            }
+            MoveAction::Brake(brake) => {
+                self.brake(&brake);
+                None
+            }
+            MoveAction::Order { endpoint, .. } => panic!("endpoint {endpoint} serves already"),
+        }
+    }
+
+    fn write(&mut self, expected: ObjectVersion, progress: Progress) -> MoveEvent {
+        if expected != self.store.version {
+            return MoveEvent::WriteFailed(Kind::Conflict);
+        }
+        if progress.phase == Phase::Done {
+            self.ending.done_ms.get_or_insert(self.world.now_ms);
+        }
+        self.store.version = self.store.version.next();
+        self.store.progress = Some(progress);
+        if self.rng.random::<f64>() < 0.05 {
+            return MoveEvent::WriteFailed(Kind::WriteUnsettled);
+        }
+        MoveEvent::Written(self.store.version)
+    }
+
+    fn brake(&mut self, brake: &Brake) {
+        if self.spread.is_none() {
+            let now = self.world.now_ms;
+            self.spread = Some(Spread::new(now, self.new_endpoints, &mut self.rng));
+            self.ending.taken_back_ms = Some(now);
+            self.ending.evidence = Some(brake.evidence.clone());
+        }
+    }
+
+    /// The holder dies; a new one starts without knowledge, its lease comes later.
+    fn replace_holder(&mut self, pool: &Arc<Pool>, seed: u64) {
+        self.token = self.token.next();
+        self.mover = mover(pool, seed + 1);
+    }
+
+    fn is_over(&self) -> bool {
+        let now = self.world.now_ms;
+        let taken_back = self.ending.taken_back_ms;
+        now >= self.ending.by_ms + WATCHED_AFTER_MS
+            || taken_back.is_some_and(|at| now >= at + 10_000)
+    }
+
+    fn finish(mut self) -> Ending {
+        // What the pool would have served until the date, had the run gone on.
+        let rate: f64 = ROUTES.iter().map(|r| r.per_second).sum();
+        let whole = rate * self.ending.by_ms as f64 / 1_000.0;
+        self.ending.total = self.ending.total.max(num::round_to_u64(whole));
+        if let Some(progress) = &self.store.progress {
+            self.ending.late_reason.clone_from(&progress.late);
+        }
+        self.ending
+    }
+}
+
+fn outage(rng: &mut StdRng, by_ms: u64) -> std::ops::Range<u64> {
+    let start = rng.random_range(0..by_ms);
+    start..start + rng.random_range(0..120_000)
+}
+
+fn hide_badness(report: &mut Report) {
+    for outcomes in &mut report.outcomes {
+        outcomes.ok += outcomes.failed + outcomes.duplicated;
+        outcomes.failed = 0;
+        outcomes.duplicated = 0;
+        outcomes.log_slowness_sum = 0.0;
+        outcomes.log_slowness_square_sum = 0.0;
+    }
+}
+
+pub fn mover(pool: &Arc<Pool>, seed: u64) -> Mover {
+    Mover::new(
+        TableVersion(1),
+        Arc::clone(pool),
+        routes(),
+        Duration::from_secs(10),
+        StdRng::seed_from_u64(seed),
+    )
+}
+
+pub fn routes() -> Vec<Arc<Route>> {
+    let route = |r: &crate::world::SimRoute| Route {
+        name: RouteName::from(r.name),
+        path: Arc::from(format!("/{}", r.name)),
+        model: None,
+        tier: r.tier,
+        pool: PoolName::from(POOL),
+        non_idempotent: false,
+        timeout: Duration::from_secs(30),
+        max_body_bytes: 1_024,
+    };
+    ROUTES.iter().map(|r| Arc::new(route(r))).collect()
+}
+
+pub fn pool(setup: &Setup, by: Timestamp) -> Arc<Pool> {
+    let endpoint = |i: usize| Endpoint {
+        name: EndpointName::new(format!("e{i}")),
+        sidecar: SocketAddr::from((Ipv4Addr::LOCALHOST, 7_100)),
+        domain: "a".into(),
+        hardware: "gen3".into(),
+        version: VersionName::from(if i >= setup.old { NEW } else { OLD }),
+        leaving: false,
+    };
+    let endpoints = (0..setup.old + setup.new).map(|i| {
+        let endpoint = endpoint(i);
+        (endpoint.name.clone(), Arc::new(endpoint))
+    });
+    Arc::new(Pool {
+        name: PoolName::from(POOL),
+        kind: PoolKind::Model,
+        version: OLD.into(),
+        r#move: Some(Move {
+            to: NEW.into(),
+            by,
+            not_before: None,
+        }),
+        fencing: FencingCheck::Engine,
+        weights: BTreeMap::new(),
+        endpoints: endpoints.collect(),
+        former: Vec::new(),
+    })
+}
