--- a/crates/eelgrassramp/src/rollout.rs
+++ b/crates/eelgrassramp/src/rollout.rs
@@ -4,6 +4,9 @@
 //! every process lets it go back. Progress is an object of its own, [`Progress`]. For the
 //! reasons see `docs/design/rollout.md`.
 
+mod board;
+mod comparison;
+mod evidence;
 mod judge;
 mod ladder;
 mod loads;
@@ -11,8 +14,12 @@
 mod mover;
 mod pace;
 mod progress;
-mod sequential;
+mod sample;
+mod shell;
+mod task;
 
+pub use self::board::Board;
+pub use self::evidence::Badness;
 pub use self::judge::Finding;
 pub use self::judge::Judge;
 pub use self::judge::Series;
@@ -26,5 +33,6 @@
 pub use self::progress::RouteProgress;
 pub use self::progress::Status;
 pub use self::progress::key;
-pub use self::sequential::Badness;
-pub use self::sequential::Sample;
+pub use self::sample::Sample;
+pub use self::shell::Parts;
+pub use self::shell::run;
--- a/crates/eelgrassramp/src/rollout/mover.rs
+++ b/crates/eelgrassramp/src/rollout/mover.rs
@@ -144,7 +144,14 @@
                 self.adopt_record(now);
             }
             MoveEvent::WriteFailed(kind) => self.record.write_failed(now, kind),
-            MoveEvent::Report(report) => self.take_report(now, &report),
+            MoveEvent::Report(report) => {
+                let known = self.brakes.len();
+                self.take_report(now, &report);
+                if self.brakes.len() == known {
+                    // Counters are judged at the next tick, not one report at a time.
+                    return actions;
+                }
+            }
             MoveEvent::Ordered { endpoint, reply } => {
                 self.loads.ended(&endpoint);
                 if let Some(reply) = reply.filter(|r| r.done) {
--- a/crates/eelgrassramp/src/rollout/pace.rs
+++ b/crates/eelgrassramp/src/rollout/pace.rs
@@ -26,6 +26,9 @@
 /// Share of the time to the date that is kept for the watch.
 const WATCH_SHARE: f64 = 0.25;
 
+/// Share of the time for steps that is planned; the rest is for outages and new holders.
+const PLANNED_SHARE: f64 = 0.6;
+
 /// Time before the date at which all has to be done.
 const MARGIN: Duration = Duration::from_secs(30);
 
@@ -63,7 +66,7 @@
         let left = until(wall, by).saturating_sub(MARGIN);
         let watch = left.mul_f64(WATCH_SHARE).clamp(LEAST_WATCH, MOST_WATCH);
         let steps = steps_left(parts);
-        let room = left.saturating_sub(watch) / (steps + 1);
+        let room = left.saturating_sub(watch).mul_f64(PLANNED_SHARE) / (steps + 1);
         let step = room.clamp(LEAST_STEP, MOST_STEP);
         Self {
             step,
