A stopping process no longer fetches the same tables without a pause

Cause: SpreadCore learned of a fetched version only through the notice that it is in force; the task that passes the notice on ends when the process is asked to stop, so an entry that was draining fetched, parsed and fetched again in a loop without waiting. Ruled out: the stand-in platform and the paused clock; stack traces of all threads of the fault matrix's stop rows were inside Spread::fetch. Change: the core takes a fetched version as its own at once; a regression test. Before: the stop rows did not end within 600 s. Conclusion: no decision may depend on a task that ends before the process does.

--- a/crates/eelgrassramp/src/tables/spread/core.rs
+++ b/crates/eelgrassramp/src/tables/spread/core.rs
@@ -206,6 +206,9 @@
             return;
         };
         peer.version = version;
+        // The notice that a fetched version is in force comes later, or never in a process that
+        // stops; until then it must not be fetched again.
+        self.version = self.version.max(version);
         if self.contacts.contains(&from) && !self.answered.contains(&from) {
             self.answered.push(from);
         }
--- /dev/null
+++ b/crates/eelgrassramp/tests/regression/spread_fetch_loop.rs
@@ -0,0 +1,44 @@
+//! A process that was stopping fetched the same tables again and again without a pause.
+//!
+//! The core learned of a fetched version only from the notice that it was in force, and the
+//! task that passes the notice on ends with the stop.
+
+use std::net::SocketAddr;
+
+use eelgrassramp::Monotonic;
+use eelgrassramp::TableVersion;
+use eelgrassramp::tables::SpreadAction;
+use eelgrassramp::tables::SpreadCore;
+use eelgrassramp::tables::SpreadEvent;
+use googletest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const NOW: Monotonic = Monotonic::from_millis(5_000);
+
+fn sidecar() -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 7100))
+}
+
+#[gtest]
+fn a_fetched_version_is_not_fetched_again_before_it_is_adopted() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut core = SpreadCore::new(TableVersion(4), Vec::new());
+    let seen = SpreadEvent::Seen {
+        from: sidecar(),
+        version: TableVersion(5),
+    };
+    let first = core.handle(NOW, seen, &mut rng);
+
+    let fetched = SpreadEvent::Fetched {
+        from: sidecar(),
+        version: Some(TableVersion(5)),
+    };
+    let second = core.handle(NOW, fetched, &mut rng);
+
+    expect_that!(
+        first,
+        elements_are![eq(&SpreadAction::Fetch { from: sidecar() })]
+    );
+    expect_that!(second, is_empty());
+}
