--- a/crates/eelgrassramp/src/ledger.rs
+++ b/crates/eelgrassramp/src/ledger.rs
@@ -3,7 +3,9 @@
 //! See `docs/design/ledger.md`.
 
 mod book;
+mod decide;
 mod limits;
+mod record;
 mod request;
 
 pub use self::book::Ledger;
--- a/crates/eelgrassramp/src/sidecar.rs
+++ b/crates/eelgrassramp/src/sidecar.rs
@@ -20,6 +20,7 @@
 mod state;
 mod times;
 mod upkeep;
+mod work;
 
 pub use self::brakes::Brakes;
 pub use self::cache::CacheIndex;
--- a/crates/eelgrassramp/src/sidecar/service.rs
+++ b/crates/eelgrassramp/src/sidecar/service.rs
@@ -1,24 +1,17 @@
 //! The sidecar as a service that can be called in-process.
 
-use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
-use rand::rngs::StdRng;
 use slog::info;
 
-use crate::admission::Ticket;
 use crate::engine::Engine;
 use crate::error::Kind;
 use crate::error::Ran;
 use crate::error::Result;
 use crate::id::Incarnation;
 use crate::id::RequestId;
-use crate::key;
-use crate::ledger::Claim;
-use crate::ledger::KeyClaim;
 use crate::ledger::Ledger;
 use crate::ledger::Refusal;
 use crate::ledger::Verdict;
@@ -41,31 +34,19 @@
 use crate::wire::TablesSnapshot;
 
 use super::answer::Answer;
-use super::brakes::Brakes;
-use super::cache::CacheIndex;
 use super::frames;
-use super::outcomes::OutcomeTable;
-use super::replay::Replay;
-use super::run::Run;
-use super::scheduler::Action;
-use super::scheduler::Capacity;
-use super::scheduler::Scheduler;
 use super::settings::Settings;
-use super::speed::cost_of;
-use super::state::Fence;
 use super::state::Job;
 use super::state::Meta;
 use super::state::Shared;
 use super::state::State;
 use super::state::Stop;
 use super::upkeep;
+use super::work::claim_of;
 
 /// Time after an answer's end within which an entry whose connection went silent asks again.
 const REPLAY_GRACE: Duration = Duration::from_secs(2);
 
-/// Longest time that any request gets.
-const MAX_DEADLINE: Duration = Duration::from_hours(1);
-
 /// One life of a sidecar; clones share it.
 ///
 /// Its methods mirror [`SidecarLink`](crate::link::SidecarLink), so an entry in the same
@@ -87,7 +68,7 @@
         store: Option<Arc<dyn ObjectApi>>,
         cx: Context,
     ) -> Self {
-        let state = new_state(&settings);
+        let state = State::new(&settings);
         let shared = Arc::new(Shared {
             engine,
             store,
@@ -315,128 +296,6 @@
     }
 }
 
-impl Shared {
-    /// Does what the scheduler decided.
-    pub(super) fn perform(self: &Arc<Self>, state: &mut State, actions: Vec<Action>) {
-        for action in actions {
-            match action {
-                Action::Start(request) => self.begin(state, request),
-                Action::Refuse { request, kind } => {
-                    self.count("sidecar.refused", kind.as_str());
-                    let detail = format!("request {request} was not started");
-                    state.end_not_run(self.now(), request, kind, detail);
-                }
-                Action::Preempt(request) => {
-                    if let Some(job) = state.jobs.get(&request) {
-                        job.stop.preempted.cancel();
-                    }
-                }
-            }
-        }
-    }
-
-    fn begin(self: &Arc<Self>, state: &mut State, request: RequestId) {
-        state
-            .ledger
-            .start(request)
-            .expect("a scheduled request waits in the ledger");
-        let job = state
-            .jobs
-            .get_mut(&request)
-            .expect("a scheduled request has a job");
-        let call = job.call.take().expect("a call is given away once");
-        job.answer.start();
-        let run = Run {
-            shared: Arc::clone(self),
-            meta: job.meta.clone(),
-            answer: job.answer.clone(),
-            stop: job.stop.clone(),
-        };
-        tokio::spawn(run.run(call));
-    }
-
-    fn ticket_of(&self, now: crate::time::Monotonic, msg: &Dispatch) -> Ticket {
-        let tables = self.tables.get();
-        let pool = tables.pools.get(&msg.pool);
-        let weight = pool.and_then(|p| p.weights.get(&msg.account)).copied();
-        Ticket {
-            request: msg.request,
-            tier: msg.tier,
-            account: msg.account.clone(),
-            weight: weight.unwrap_or(1),
-            deadline: now + msg.deadline().min(MAX_DEADLINE),
-            cost: cost_of(msg.work),
-            non_idempotent: msg.non_idempotent,
-        }
-    }
-
-    /// Merges what an entry knows; nothing is ever taken back.
-    fn take_knowledge(&self, state: &mut State, msg: &ReportRequest) {
-        state.noted_tables = state.noted_tables.max(msg.tables);
-        if state.brakes.merge(msg.brakes.iter().cloned()) {
-            info!(self.cx.log, "brakes learned"; "brakes" => state.brakes.len());
-        }
-        if !state.is_leaving && msg.leaving.contains(&self.settings.endpoint) {
-            state.is_leaving = true;
-            info!(self.cx.log, "endpoint is leaving"; "signal" => "entry");
-        }
-        if let Some(split) = &msg.split
-            && split.pool == self.settings.pool
-            && split.seq > state.split_seq()
-        {
-            state.split = Some(split.clone());
-        }
-        if msg.order_pressure > 0 {
-            state.scheduler.press(self.now());
-        }
-    }
-}
-
-fn new_state(settings: &Settings) -> State {
-    // Drawn from the system even in repeatable runs, since a restart must never reuse it.
-    let incarnation = Incarnation::random(&mut rand::make_rng::<StdRng>());
-    let started_unix_ms = u64::try_from(jiff::Timestamp::now().as_millisecond()).unwrap_or(0);
-    let capacity = Capacity {
-        slots: settings.slots,
-        queue: settings.queue_limits(),
-        reference_tokens_per_second: f64::from(settings.reference_tokens_per_second),
-    };
-    State {
-        ledger: Ledger::new(incarnation, started_unix_ms, settings.ledger_limits()),
-        scheduler: Scheduler::new(capacity),
-        jobs: HashMap::new(),
-        replay: Replay::new(settings.replay_bytes),
-        brakes: Brakes::default(),
-        split: None,
-        outcomes: OutcomeTable::default(),
-        cache: CacheIndex::default(),
-        service_times: BTreeMap::new(),
-        version: settings.version.clone(),
-        fence: Fence::default(),
-        is_leaving: false,
-        is_loading: false,
-        last_order: None,
-        last_end: None,
-        noted_tables: crate::id::TableVersion::default(),
-    }
-}
-
-fn claim_of(msg: &Dispatch) -> Claim {
-    let key = msg.key.map(|key| KeyClaim {
-        key,
-        made_ms: msg.key_time_ms,
-        fingerprint: key::body_hash(&msg.call.method, &msg.call.path, &msg.call.body),
-        non_idempotent: msg.non_idempotent,
-    });
-    Claim {
-        request: msg.request,
-        attempt: msg.attempt,
-        incarnation: msg.incarnation,
-        mark: msg.mark,
-        key,
-    }
-}
-
 /// Lets a request that shares the run of `first` share its answer too.
 fn share_answer(state: &mut State, request: RequestId, first: RequestId) -> Option<Answer> {
     let job = state.jobs.get(&first)?;
--- a/crates/eelgrassramp/src/sidecar/state.rs
+++ b/crates/eelgrassramp/src/sidecar/state.rs
@@ -10,12 +10,14 @@
 
 use cadence::prelude::*;
 use hdrhistogram::Histogram;
+use rand::rngs::StdRng;
 use tokio_util::sync::CancellationToken;
 
 use crate::engine::Engine;
 use crate::error::Kind;
 use crate::error::Ran;
 use crate::id::FencingToken;
+use crate::id::Incarnation;
 use crate::id::RequestId;
 use crate::id::TableVersion;
 use crate::ledger::Ending;
@@ -39,6 +41,7 @@
 use super::cache::CacheIndex;
 use super::outcomes::OutcomeTable;
 use super::replay::Replay;
+use super::scheduler::Capacity;
 use super::scheduler::Scheduler;
 use super::settings::Settings;
 
@@ -197,6 +200,36 @@
 }
 
 impl State {
+    /// Creates the state of a new life.
+    pub(super) fn new(settings: &Settings) -> Self {
+        // Drawn from the system even in repeatable runs, since a restart must never reuse it.
+        let incarnation = Incarnation::random(&mut rand::make_rng::<StdRng>());
+        let started_unix_ms = u64::try_from(jiff::Timestamp::now().as_millisecond()).unwrap_or(0);
+        let capacity = Capacity {
+            slots: settings.slots,
+            queue: settings.queue_limits(),
+            reference_tokens_per_second: f64::from(settings.reference_tokens_per_second),
+        };
+        Self {
+            ledger: Ledger::new(incarnation, started_unix_ms, settings.ledger_limits()),
+            scheduler: Scheduler::new(capacity),
+            jobs: HashMap::new(),
+            replay: Replay::new(settings.replay_bytes),
+            brakes: Brakes::default(),
+            split: None,
+            outcomes: OutcomeTable::default(),
+            cache: CacheIndex::default(),
+            service_times: BTreeMap::new(),
+            version: settings.version.clone(),
+            fence: Fence::default(),
+            is_leaving: false,
+            is_loading: false,
+            last_order: None,
+            last_end: None,
+            noted_tables: TableVersion::default(),
+        }
+    }
+
     /// Returns the position of the newest split.
     pub(super) fn split_seq(&self) -> SplitSeq {
         self.split.as_ref().map(|s| s.seq).unwrap_or_default()
--- /dev/null
+++ b/crates/eelgrassramp/tests/sidecar/keys.rs
@@ -0,0 +1,184 @@
+//! Idempotency keys at their home.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use eelgrassramp::EndpointName;
+use eelgrassramp::Kind;
+use eelgrassramp::PoolName;
+use eelgrassramp::Ran;
+use eelgrassramp::RequestId;
+use eelgrassramp::TableVersion;
+use eelgrassramp::Tier;
+use eelgrassramp::key;
+use eelgrassramp::tables::Endpoint;
+use eelgrassramp::tables::FencingCheck;
+use eelgrassramp::tables::FormerMembers;
+use eelgrassramp::tables::Pool;
+use eelgrassramp::tables::PoolKind;
+use eelgrassramp::tables::Tables;
+use eelgrassramp::wire::Dispatch;
+use eelgrassramp::wire::Frame;
+use futures_util::StreamExt;
+use googletest::prelude::*;
+use jiff::Timestamp;
+
+use super::fixture::BODY;
+use super::fixture::Fixture;
+use super::fixture::Got;
+use super::fixture::Script;
+use super::fixture::read;
+use super::fixture::request;
+use super::fixture::sidecar;
+
+const VERSION: TableVersion = TableVersion(3);
+const OTHER: &str = "greeting-2";
+const OWN: &str = "greeting-1";
+
+fn endpoint(name: &str) -> Arc<Endpoint> {
+    Arc::new(Endpoint {
+        name: name.into(),
+        sidecar: "127.0.0.1:7101".parse().expect("address"),
+        domain: "a".into(),
+        hardware: "gen3".into(),
+        version: "v1".into(),
+        leaving: false,
+    })
+}
+
+/// Tables with a pool of `members`, which had `former` members until now.
+fn tables(members: &[&str], former: &[&str]) -> Tables {
+    let named = |names: &[&str]| -> BTreeMap<EndpointName, Arc<Endpoint>> {
+        let pair = |name: &&str| (EndpointName::from(*name), endpoint(name));
+        names.iter().map(pair).collect()
+    };
+    let former = FormerMembers {
+        until: Timestamp::now(),
+        sidecars: named(former)
+            .into_iter()
+            .map(|(name, e)| (name, e.sidecar))
+            .collect(),
+    };
+    let pool = Pool {
+        name: "greeting".into(),
+        kind: PoolKind::Service,
+        version: "v1".into(),
+        r#move: None,
+        fencing: FencingCheck::Engine,
+        weights: BTreeMap::new(),
+        endpoints: named(members),
+        former: vec![former],
+    };
+    Tables {
+        version: VERSION,
+        pools: BTreeMap::from([(PoolName::from("greeting"), Arc::new(pool))]),
+        ..Tables::default()
+    }
+}
+
+fn key_of(home: &str) -> RequestId {
+    let names = [EndpointName::from(OWN), EndpointName::from(OTHER)];
+    let is_at_home = |key: &RequestId| key::home(*key, &names) == Some(&EndpointName::from(home));
+    (0..1_000)
+        .map(RequestId::from_bits)
+        .find(is_at_home)
+        .expect("some key")
+}
+
+async fn keyed(fx: &Fixture, id: u128, key: RequestId) -> Dispatch {
+    let mut msg = fx.dispatch(id, Tier::Order).await;
+    msg.tables = VERSION;
+    msg.key = Some(key);
+    msg
+}
+
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn a_key_runs_only_at_its_home() {
+    let fx = sidecar(Script::Answers);
+    fx.service
+        .current_tables()
+        .offer(tables(&[OWN, OTHER], &[]));
+
+    let foreign = keyed(&fx, 1, key_of(OTHER)).await;
+    let foreign = read(fx.service.dispatch(foreign).await).await;
+    let own = keyed(&fx, 2, key_of(OWN)).await;
+    let own = read(fx.service.dispatch(own).await).await;
+
+    expect_that!(foreign.failure(), some(eq((Kind::NotServed, Ran::No))));
+    expect_that!(own, eq(&Got::Whole(BODY.to_owned())));
+}
+
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn a_charge_at_a_new_home_needs_the_former_homes_closed() {
+    let fx = sidecar(Script::Answers);
+    fx.service
+        .current_tables()
+        .offer(tables(&[OWN], &[OWN, OTHER]));
+    let mut msg = keyed(&fx, 1, key_of(OTHER)).await;
+    msg.non_idempotent = true;
+    msg.key_time_ms = Some(later_ms());
+    let mut closed = msg.clone();
+    closed.attempt = msg.attempt.next();
+    closed.former_homes_closed = Some(VERSION);
+
+    fx.cx.timers.after(std::time::Duration::from_secs(5)).await;
+    let open = read(fx.service.dispatch(msg).await).await;
+    let closed = read(fx.service.dispatch(closed).await).await;
+
+    expect_that!(open.failure(), some(eq((Kind::NotServed, Ran::No))));
+    expect_that!(closed, eq(&Got::Whole(BODY.to_owned())));
+}
+
+/// Returns a time well after the start of a sidecar that starts now.
+fn later_ms() -> u64 {
+    u64::try_from(Timestamp::now().as_millisecond()).expect("after 1970") + 4_000
+}
+
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn a_charge_whose_key_a_former_life_may_have_used_may_have_run() {
+    let fx = sidecar(Script::Answers);
+    let mut msg = keyed(&fx, 1, key_of(OWN)).await;
+    msg.non_idempotent = true;
+
+    let got = read(fx.service.dispatch(msg).await).await;
+
+    expect_that!(got.failure(), some(eq((Kind::OutcomeUnknown, Ran::Maybe))));
+    expect_that!(fx.engine.runs_of(request(1)), eq(0));
+}
+
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn two_requests_with_one_key_share_one_run_and_one_answer() {
+    let fx = sidecar(Script::Holds);
+    let first = keyed(&fx, 1, key_of(OWN)).await;
+    let second = keyed(&fx, 2, key_of(OWN)).await;
+
+    let first = tokio::spawn(read(fx.service.dispatch(first).await));
+    let second = tokio::spawn(read(fx.service.dispatch(second).await));
+    fx.engine.release(1);
+
+    expect_that!(first.await, ok(eq(&Got::Whole(BODY.to_owned()))));
+    expect_that!(second.await, ok(eq(&Got::Whole(BODY.to_owned()))));
+    expect_that!(fx.engine.runs_of(request(1)), eq(1));
+    expect_that!(fx.engine.runs_of(request(2)), eq(0));
+}
+
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn a_silent_run_is_shown_alive_by_heartbeats() {
+    let fx = sidecar(Script::Holds);
+    let mut frames = fx.begin(1, Tier::Interactive).await;
+    let asked = fx.cx.timers.now();
+
+    let mut heartbeats = 0;
+    while heartbeats < 3 {
+        let frame = frames.next().await.expect("open").expect("frame");
+        heartbeats += u32::from(frame == Frame::Heartbeat);
+    }
+
+    let waited = fx.cx.timers.now().since(asked).as_millis();
+    expect_that!(waited, all![ge(1_200), le(1_210)]);
+}
--- a/crates/eelgrassramp/tests/sidecar/main.rs
+++ b/crates/eelgrassramp/tests/sidecar/main.rs
@@ -1,8 +1,10 @@
 //! Tests of the sidecar through its public interface.
 
+mod engine;
 mod fixture;
 mod hostile;
 mod http;
+mod keys;
 mod knowledge;
 mod orders;
 mod runs;
