--- a/crates/eelgrassramp/src/sidecar/check.rs
+++ b/crates/eelgrassramp/src/sidecar/check.rs
@@ -3,8 +3,6 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use jiff::Timestamp;
-
 use crate::error::Kind;
 use crate::id::RequestId;
 use crate::key;
@@ -102,7 +100,7 @@
 
     /// Tells whether an earlier set of endpoints may still remember keys.
     fn may_remember(&self, former: &FormerMembers) -> bool {
-        let age = Timestamp::now().duration_since(former.until);
+        let age = self.cx.timers.wall_now().duration_since(former.until);
         let limits = self.settings.ledger_limits();
         // An edit dated in the future, by a clock ahead of this one, is recent.
         Duration::try_from(age).map_or(true, |age| {
--- a/crates/eelgrassramp/src/sidecar/service.rs
+++ b/crates/eelgrassramp/src/sidecar/service.rs
@@ -68,7 +68,7 @@
         store: Option<Arc<dyn ObjectApi>>,
         cx: Context,
     ) -> Self {
-        let state = State::new(&settings);
+        let state = State::new(&settings, &cx);
         let shared = Arc::new(Shared {
             engine,
             store,
--- a/crates/eelgrassramp/src/sidecar/state.rs
+++ b/crates/eelgrassramp/src/sidecar/state.rs
@@ -201,10 +201,10 @@
 
 impl State {
     /// Creates the state of a new life.
-    pub(super) fn new(settings: &Settings) -> Self {
+    pub(super) fn new(settings: &Settings, cx: &Context) -> Self {
         // Drawn from the system even in repeatable runs, since a restart must never reuse it.
         let incarnation = Incarnation::random(&mut rand::make_rng::<StdRng>());
-        let started_unix_ms = u64::try_from(jiff::Timestamp::now().as_millisecond()).unwrap_or(0);
+        let started_unix_ms = u64::try_from(cx.timers.wall_now().as_millisecond()).unwrap_or(0);
         let capacity = Capacity {
             slots: settings.slots,
             queue: settings.queue_limits(),
