--- a/crates/eelgrassramp/src/entry/service.rs
+++ b/crates/eelgrassramp/src/entry/service.rs
@@ -108,9 +108,8 @@
     /// Tells whether the entry can serve: it knows tables and an endpoint of every pool.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let has_tables = self.shared.tables_version().0 > 0 && self.shared.spread.is_ready();
         let is_stopping = self.shared.cx.stop.is_cancelled();
-        has_tables && !is_stopping && self.shared.lock().router.has_reports()
+        self.shared.has_tables() && !is_stopping && self.shared.lock().router.has_reports()
     }
 
     /// Returns the measured times for each tier and client account.
@@ -121,12 +120,19 @@
 
     /// Reads or extends what is known besides the tables: brakes, splits, leaving endpoints.
     ///
-    /// What is added spreads to sidecars with the next reports.
+    /// What is added spreads to sidecars at once.
     pub fn with_knowledge<T>(&self, f: impl FnOnce(&mut Knowledge) -> T) -> T {
         let now = self.shared.now();
         let mut core = self.shared.lock();
-        let out = f(core.router.knowledge_mut());
-        core.pump_all(now);
+        let knowledge = core.router.knowledge_mut();
+        let before = knowledge.changes();
+        let out = f(knowledge);
+        if knowledge.changes() != before {
+            core.router.want_all_reports();
+            core.pump_all(now);
+            drop(core);
+            self.shared.pressed.notify_one();
+        }
         out
     }
 
@@ -275,6 +281,8 @@
             return Some(Ok(bytes));
         }
         if let Some(err) = self.failed.take() {
+            // The server writes out what it holds only when the body has nothing ready.
+            tokio::task::yield_now().await;
             self.is_over = true;
             return Some(Err(err));
         }
@@ -318,17 +326,13 @@
 
 /// Keeps what is known of leaving endpoints as the platform's list tells.
 async fn follow_leaving(service: Service, mut list: watch::Receiver<Vec<LeavingEndpoint>>) {
-    let mut known = Vec::new();
     while list.changed().await.is_ok() {
         let listed = list.borrow_and_update().clone();
         service.with_knowledge(|knowledge| {
-            for row in known.iter().filter(|row| !listed.contains(row)) {
-                knowledge.remove_leaving(&row.endpoint);
-            }
-            for row in &listed {
-                knowledge.add_leaving(row.endpoint.clone());
+            knowledge.clear_leaving();
+            for row in listed {
+                knowledge.add_leaving(row.pool, row.endpoint);
             }
         });
-        known = listed;
     }
 }
