The demonstration moves on a simulated clock; overhead of entry and sidecar

A move lasts at least 20 s a step and a minute of watching, so over real connections it cannot end within a demonstration. The load runs over real connections as before; the move runs in the same process on a paused clock. Callers' clocks in a simulated run no longer depend on how long the start takes: on a busy machine the run of the smoke experiment in the tests failed once of three, because keys looked older than the sidecars.

--- a/crates/standins/src/cli/demo.rs
+++ b/crates/standins/src/cli/demo.rs
@@ -10,6 +10,7 @@
 use eelgrassramp::Timers;
 use eelgrassramp::log;
 use eelgrassramp::metrics;
+use slog::Logger;
 use tokio_util::sync::CancellationToken;
 
 use super::experiments::DEMO;
@@ -27,9 +28,25 @@
     } else {
         log::discard()
     };
+    let report = demo::Report {
+        load: in_real_time(log, |cx| demo::serve_load(&experiment, cx))?,
+        moved: demo::simulate_move(&experiment, options)?,
+    };
+    println!("{report}");
+    if let Some(path) = args.get_one::<PathBuf>("json") {
+        write(path, &report)?;
+    }
+    Ok(report.is_good())
+}
+
+/// Runs `work` on a runtime with real time and real connections.
+pub(super) fn in_real_time<T, F: Future<Output = Result<T>>>(
+    log: Logger,
+    work: impl FnOnce(Context) -> F,
+) -> Result<T> {
     let runtime = tokio::runtime::Runtime::new()
         .map_err(|e| Error::with_source(Kind::Internal, "start runtime", e))?;
-    let report = runtime.block_on(async {
+    runtime.block_on(async {
         let cx = Context {
             log,
             metrics: metrics::discard(),
@@ -38,13 +55,8 @@
             // With one seed, all entries would draw the same request identifiers.
             seed: None,
         };
-        demo::run(&experiment, options, cx).await
-    })?;
-    println!("{report}");
-    if let Some(path) = args.get_one::<PathBuf>("json") {
-        write(path, &report)?;
-    }
-    Ok(report.is_good())
+        work(cx).await
+    })
 }
 
 fn write(path: &PathBuf, report: &demo::Report) -> Result<()> {
--- a/crates/standins/src/cluster/in_process.rs
+++ b/crates/standins/src/cluster/in_process.rs
@@ -6,12 +6,15 @@
 use async_trait::async_trait;
 use bytes::BytesMut;
 use eelgrassramp::Context;
+use eelgrassramp::Incarnation;
 use eelgrassramp::ObjectVersion;
 use eelgrassramp::Result;
 use eelgrassramp::engine::Engine;
 use eelgrassramp::entry;
+use eelgrassramp::lease::LeaseTerms;
 use eelgrassramp::link::SidecarLink;
 use eelgrassramp::num;
+use eelgrassramp::rollout;
 use eelgrassramp::sidecar;
 use eelgrassramp::store::ObjectApi;
 use eelgrassramp::tables;
@@ -43,6 +46,12 @@
 use crate::service::OrderService;
 use crate::service::Settings as ServiceSettings;
 
+/// How far the callers' clocks are behind, since the start itself takes real time.
+const CLOCK_SKEW_MS: u64 = 1_000;
+
+/// Least time between two orders to load a version, for each pool.
+const LOAD_INTERVAL: Duration = Duration::from_secs(2);
+
 /// All parts of a running deployment; it stops when dropped.
 #[derive(Debug)]
 pub struct InProcess {
@@ -93,12 +102,13 @@
             link: LocalLink::new(),
             faults,
             entries: Vec::new(),
-            origin_unix_ms: unix_ms(),
+            origin_unix_ms: 0,
             cx,
         };
         for (i, member) in cluster.members.clone().iter().enumerate() {
             cluster.start_member(spec, member, seed + num::count(i))?;
         }
+        cluster.origin_unix_ms = unix_ms().saturating_sub(CLOCK_SKEW_MS);
         for i in 0..spec.entries {
             cluster.start_entry(i, scheduling)?;
         }
@@ -179,14 +189,28 @@
         };
         let current = Arc::new(Current::default());
         let api: Arc<dyn ObjectApi> = self.platform.client(&name);
-        tokio::spawn(tables::follow(cx.clone(), api, Arc::clone(&current)));
+        let follow = tables::follow(cx.clone(), Arc::clone(&api), Arc::clone(&current));
+        tokio::spawn(follow);
         let link: Arc<dyn SidecarLink> = FaultyLink::new(
             Arc::clone(&self.link) as Arc<dyn SidecarLink>,
             Arc::clone(&self.faults),
             cx.timers.clone(),
         );
-        self.entries
-            .push(entry::Service::new(settings, link, current, cx));
+        let entry = settings.name.clone();
+        let tables = Arc::clone(&current);
+        let service = entry::Service::new(settings, Arc::clone(&link), current, cx.clone());
+        let moves = rollout::Parts {
+            entry,
+            me: Incarnation::random(&mut cx.rng("moves")),
+            link,
+            api,
+            tables,
+            board: Arc::new(service.clone()),
+            terms: LeaseTerms::default(),
+            load_interval: LOAD_INTERVAL,
+        };
+        tokio::spawn(rollout::run(moves, cx));
+        self.entries.push(service);
         Ok(())
     }
 }
--- a/crates/standins/src/cluster/settings.rs
+++ b/crates/standins/src/cluster/settings.rs
@@ -15,7 +15,7 @@
 use crate::load::ClassKind;
 
 /// Time after a sidecar's start from which it knows that a new key was never used before.
-pub(super) const KEY_MARGIN: Duration = Duration::from_millis(2_500);
+pub(super) const KEY_MARGIN: Duration = Duration::from_secs(4);
 
 /// Returns the Unix time in milliseconds.
 #[must_use]
@@ -55,7 +55,12 @@
 }
 
 /// Returns the settings of one entry.
-pub(super) fn entry_settings(
+///
+/// # Errors
+///
+/// Returns [`Kind::InvalidSettings`](eelgrassramp::Kind::InvalidSettings) when the name is not
+/// valid.
+pub fn entry_settings(
     name: &str,
     listen: SocketAddr,
     store: SocketAddr,
--- a/crates/standins/src/cluster/spec.rs
+++ b/crates/standins/src/cluster/spec.rs
@@ -1,5 +1,6 @@
 //! The written form of a deployment.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::time::Duration;
@@ -15,6 +16,7 @@
 use serde::Serialize;
 
 use crate::engine;
+use crate::engine::Badness;
 use crate::load::Class;
 use crate::load::ClassKind;
 use crate::load::Traffic;
@@ -39,6 +41,9 @@
     pub service_slots: u32,
     /// Time of one call of a plain service, in milliseconds.
     pub service_latency_ms: u64,
+    /// Versions of the engines that are bad.
+    #[serde(skip)]
+    pub bad_versions: BTreeMap<VersionName, Badness>,
 }
 
 /// Engines of one hardware generation.
@@ -204,6 +209,7 @@
             event_loss: spec.event_loss,
             version: member.version.clone(),
             seed,
+            bad_versions: self.bad_versions.clone(),
             ..engine::Settings::default()
         }
     }
--- a/crates/standins/src/demo/run.rs
+++ b/crates/standins/src/demo/run.rs
@@ -1,6 +1,5 @@
-//! Runs the demonstration from start to stop.
+//! The first part: load over real connections.
 
-use std::collections::BTreeMap;
 use std::io::IsTerminal;
 use std::io::Write;
 use std::sync::Arc;
@@ -8,22 +7,14 @@
 
 use eelgrassramp::Context;
 use eelgrassramp::Result;
-use eelgrassramp::VersionName;
-use eelgrassramp::tables::Document;
-use eelgrassramp::tables::MoveRow;
-use jiff::SignedDuration;
-use jiff::Timestamp;
 
-use super::follow::MoveStatus;
-use super::follow::read_move;
-use super::report::Report;
+use super::report::LoadReport;
 use crate::check::Starts;
 use crate::check::check;
 use crate::cluster::Loopback;
 use crate::cluster::Scheduling;
 use crate::cluster::document;
 use crate::cluster::unix_ms;
-use crate::engine::Badness;
 use crate::experiment::Experiment;
 use crate::load::Arrivals;
 use crate::load::HttpTarget;
@@ -32,13 +23,7 @@
 use crate::load::drive;
 
 const READY_LIMIT: Duration = Duration::from_secs(15);
-const MOVE_AFTER: Duration = Duration::from_secs(3);
-const MOVE_DEADLINE: SignedDuration = SignedDuration::from_secs(20);
-const MOVE_WAIT: Duration = Duration::from_secs(20);
-const MOVE_POLL: Duration = Duration::from_millis(250);
 const PROGRESS_PERIOD: Duration = Duration::from_secs(1);
-const OLD_VERSION: &str = "v1";
-const NEW_VERSION: &str = "v2";
 
 /// How the demonstration runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,60 +32,35 @@
     pub bad_version: bool,
 }
 
-/// Runs the demonstration and reports what was seen.
+/// Puts the deployment under load over real connections and reports what was seen.
 ///
 /// # Errors
 ///
 /// Returns the error of a part that could not start or did not stop cleanly.
-pub async fn run(experiment: &Experiment, options: Options, cx: Context) -> Result<Report> {
+pub async fn serve_load(experiment: &Experiment, cx: Context) -> Result<LoadReport> {
     let spec = &experiment.cluster;
-    let bad_versions = bad_versions(options);
-    let cluster = Loopback::start(spec, &bad_versions, experiment.seed, cx).await?;
-    let mut tables = document(&cluster.members, &experiment.traffic, Scheduling::Ours);
-    for pool in &mut tables.pools {
-        pool.version = VersionName::from(OLD_VERSION);
-    }
+    let cluster = Loopback::start(spec, experiment.seed, cx).await?;
+    let tables = document(&cluster.members, &experiment.traffic, Scheduling::Ours);
     cluster.apply(&tables).await?;
-    cluster.ready(READY_LIMIT).await?;
+    cluster.ready(&cluster.entries, READY_LIMIT).await?;
     say(&format!(
         "{} entries, {} endpoints with sidecars and one object API serve on loopback",
         cluster.entries.len(),
         cluster.members.len()
     ));
-
-    let (samples, moved) = tokio::join!(
-        load(&cluster, experiment),
-        move_pool(&cluster, experiment, tables)
-    );
+    let samples = load(&cluster, experiment).await;
     let starts = Starts::new(&cluster.engines, &cluster.services);
     let charges: Vec<_> = cluster.services.iter().flat_map(|s| s.charges()).collect();
     let prefill = cluster.engines.iter().map(|e| e.stats().prefill_tokens);
-    let report = Report {
+    let report = LoadReport {
         summary: Summary::new(&samples),
         prefill_tokens: prefill.sum(),
-        moved: moved?,
-        wanted: if options.bad_version {
-            MoveStatus::TakenBack
-        } else {
-            MoveStatus::Done
-        },
         checks: check(&samples, &starts, &charges),
     };
     cluster.stop().await?;
     Ok(report)
 }
 
-fn bad_versions(options: Options) -> BTreeMap<VersionName, Badness> {
-    if !options.bad_version {
-        return BTreeMap::new();
-    }
-    let fails_often = Badness {
-        fail: 0.3,
-        ..Badness::default()
-    };
-    BTreeMap::from([(VersionName::from(NEW_VERSION), fails_often)])
-}
-
 async fn load(cluster: &Loopback, experiment: &Experiment) -> Vec<Sample> {
     let traffic = &experiment.traffic;
     let share = experiment.loads.first().copied().unwrap_or(1.0);
@@ -114,38 +74,6 @@
     drive(arrivals, Arc::new(target), timers, |s| progress.notice(s)).await
 }
 
-/// Asks for the move and follows it to its end.
-async fn move_pool(
-    cluster: &Loopback,
-    experiment: &Experiment,
-    mut tables: Document,
-) -> Result<MoveStatus> {
-    let timers = &cluster.cx.timers;
-    let pool = &experiment.cluster.pool;
-    timers.after(MOVE_AFTER).await;
-    if let Some(row) = tables.pools.iter_mut().find(|p| p.name == *pool) {
-        row.r#move = Some(MoveRow {
-            to: VersionName::from(NEW_VERSION),
-            by: Timestamp::now() + MOVE_DEADLINE,
-            not_before: None,
-        });
-    }
-    cluster.apply(&tables).await?;
-    say(&format!(
-        "pool \"{pool}\" is asked to move to \"{NEW_VERSION}\""
-    ));
-    let end = timers.now() + MOVE_WAIT;
-    let client = cluster.platform.client("demo");
-    loop {
-        let status = read_move(&*client, pool).await;
-        if status.is_final() || timers.now() >= end {
-            say(&format!("pool \"{pool}\": move {}", status.as_str()));
-            return Ok(status);
-        }
-        timers.after(MOVE_POLL).await;
-    }
-}
-
 /// The progress line.
 #[derive(Debug)]
 struct Progress {
@@ -190,7 +118,7 @@
     }
 }
 
-fn say(line: &str) {
+pub(super) fn say(line: &str) {
     // As above.
     let _shown = writeln!(std::io::stderr(), "{line}");
 }
