--- a/crates/eelgrassramp/src/lib.rs
+++ b/crates/eelgrassramp/src/lib.rs
@@ -15,10 +15,12 @@
 //! assert_eq!(Kind::OutcomeUnknown.answer().ran, Ran::Maybe);
 //! ```
 
+pub mod admission;
 pub mod engine;
 mod error;
 mod id;
 pub mod jsonc;
+pub mod lease;
 pub mod link;
 pub mod log;
 pub mod metrics;
