--- a/crates/eelgrassramp/src/lib.rs
+++ b/crates/eelgrassramp/src/lib.rs
@@ -17,9 +17,11 @@
 
 pub mod admission;
 pub mod engine;
+pub mod entry;
 mod error;
 mod id;
 pub mod jsonc;
+pub mod key;
 pub mod lease;
 pub mod ledger;
 pub mod link;
@@ -28,6 +30,9 @@
 mod name;
 pub mod num;
 mod process;
+pub mod proof;
+pub mod retry;
+pub mod routing;
 pub mod sidecar;
 pub mod store;
 pub mod tables;
