--- a/crates/standins/src/cluster.rs
+++ b/crates/standins/src/cluster.rs
@@ -8,9 +8,13 @@
 mod tables;
 
 pub use self::in_process::InProcess;
+pub(crate) use self::in_process::to_caller_request;
 pub use self::link::LocalLink;
 pub use self::loopback::Loopback;
+pub(crate) use self::settings::entry_settings;
+pub(crate) use self::settings::sidecar_settings;
 pub use self::settings::unix_ms;
+pub(crate) use self::settings::unused_address;
 pub use self::spec::ClusterSpec;
 pub use self::spec::EngineGroup;
 pub use self::spec::EngineSpec;
--- a/crates/standins/src/cluster/in_process.rs
+++ b/crates/standins/src/cluster/in_process.rs
@@ -220,7 +220,8 @@
     }
 }
 
-fn to_caller_request(req: CallRequest) -> entry::CallerRequest {
+/// Turns a call of the load into what an entry takes.
+pub(crate) fn to_caller_request(req: CallRequest) -> entry::CallerRequest {
     let headers = req.headers.into_iter();
     entry::CallerRequest {
         method: "POST".to_owned(),
--- a/crates/standins/src/cluster/settings.rs
+++ b/crates/standins/src/cluster/settings.rs
@@ -24,7 +24,7 @@
 }
 
 /// Returns the settings of a member's sidecar.
-pub(super) fn sidecar_settings(
+pub(crate) fn sidecar_settings(
     spec: &ClusterSpec,
     member: &Member,
     engine: SocketAddr,
@@ -55,7 +55,7 @@
 }
 
 /// Returns the settings of one entry.
-pub(super) fn entry_settings(
+pub(crate) fn entry_settings(
     name: &str,
     listen: SocketAddr,
     store: SocketAddr,
@@ -74,6 +74,6 @@
 }
 
 /// An address that settings need but no part of this process listens on.
-pub(super) fn unused_address() -> SocketAddr {
+pub(crate) fn unused_address() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 1))
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod fault;
 pub mod http;
 pub mod load;
+pub mod matrix;
 pub mod platform;
 pub mod service;
--- /dev/null
+++ b/crates/standins/src/matrix.rs
@@ -0,0 +1,28 @@
+//! The fault matrix: every fault at every step, with the promises checked in each cell.
+//!
+//! The rows are [`Step`], the columns [`Column`]; [`cell`] tells what runs. A cell starts a
+//! whole deployment under a paused clock, injects the fault when a request, change, move or
+//! stop first reaches the step, and checks afterwards what callers and engines saw.
+
+mod checks;
+mod column;
+mod deployment;
+mod engine;
+mod fleet;
+mod gate;
+mod inflict;
+mod link;
+mod probe;
+mod request;
+mod scene;
+mod step;
+mod store;
+mod table;
+
+pub use self::column::Column;
+pub use self::step::Course;
+pub use self::step::Step;
+pub use self::table::Cell;
+pub use self::table::CellReport;
+pub use self::table::cell;
+pub use self::table::run;
--- a/crates/standins/src/matrix/engine.rs
+++ b/crates/standins/src/matrix/engine.rs
@@ -101,7 +101,12 @@
     async fn cache_events(&self, seq: u64) -> Result<CacheUpdate> {
         let update = self.guard(self.inner.cache_events(seq)).await?;
         if self.fleet.loses_cache_events() {
-            return Ok(CacheUpdate { whole: false, added: Vec::new(), removed: Vec::new(), ..update });
+            return Ok(CacheUpdate {
+                whole: false,
+                added: Vec::new(),
+                removed: Vec::new(),
+                ..update
+            });
         }
         Ok(update)
     }
--- a/crates/standins/src/matrix/fleet.rs
+++ b/crates/standins/src/matrix/fleet.rs
@@ -95,7 +95,9 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().expect("no panic while the fleet is locked")
+        self.state
+            .lock()
+            .expect("no panic while the fleet is locked")
     }
 }
 
--- a/crates/standins/src/matrix/gate.rs
+++ b/crates/standins/src/matrix/gate.rs
@@ -1,6 +1,8 @@
 //! Freezes or ends one process as the others see it.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use tokio::sync::watch;
 
@@ -18,6 +20,7 @@
 #[derive(Debug)]
 pub struct Gate {
     state: watch::Sender<State>,
+    was_frozen: AtomicBool,
 }
 
 impl Gate {
@@ -25,11 +28,15 @@
     #[must_use]
     pub fn new() -> Arc<Self> {
         let (state, _) = watch::channel(State::Running);
-        Arc::new(Self { state })
+        Arc::new(Self {
+            state,
+            was_frozen: AtomicBool::new(false),
+        })
     }
 
     /// Stops the process until [`Gate::thaw`].
     pub fn freeze(&self) {
+        self.was_frozen.store(true, Ordering::Relaxed);
         self.turn(State::Frozen);
     }
 
@@ -49,6 +56,12 @@
         *self.state.borrow() == State::Dead
     }
 
+    /// Tells whether the process was ever frozen.
+    #[must_use]
+    pub fn was_frozen(&self) -> bool {
+        self.was_frozen.load(Ordering::Relaxed)
+    }
+
     /// Waits while the process is frozen, and for good when it is dead.
     pub async fn pass(&self) {
         self.reach(State::Running).await;
--- a/crates/standins/src/matrix/link.rs
+++ b/crates/standins/src/matrix/link.rs
@@ -7,9 +7,9 @@
 use async_trait::async_trait;
 use eelgrassramp::Error;
 use eelgrassramp::Kind;
+use eelgrassramp::PoolName;
 use eelgrassramp::RequestId;
 use eelgrassramp::Tier;
-use eelgrassramp::PoolName;
 use eelgrassramp::Timers;
 use eelgrassramp::link::FrameStream;
 use eelgrassramp::link::LinkError;
@@ -134,7 +134,10 @@
             self.inner = None;
             return frame;
         }
-        let effect = frame.as_ref().and_then(|f| f.as_ref().ok()).map(|f| self.step(f));
+        let effect = frame
+            .as_ref()
+            .and_then(|f| f.as_ref().ok())
+            .map(|f| self.step(f));
         if effect.flatten() == Some(Effect::Silence) {
             return std::future::pending().await;
         }
@@ -196,7 +199,10 @@
     async fn dispatch(&self, to: SocketAddr, msg: Dispatch) -> Reply<FrameStream> {
         let request = msg.request;
         let work = Some((msg.pool.clone(), msg.tier));
-        let place = Place { entry: self.entry, sidecar: to };
+        let place = Place {
+            entry: self.entry,
+            sidecar: to,
+        };
         self.probe.note(request, place, msg.pool.clone());
         self.probe.reach(Step::Choose, request);
         if self.probe.reach(Step::Connect, request) == Effect::Silence {
@@ -212,7 +218,10 @@
 
     async fn attach(&self, to: SocketAddr, msg: Attach) -> Reply<FrameStream> {
         let frames = self.guard(to, self.inner.attach(to, msg)).await?;
-        let tracked = Tracked { request: msg.request, work: None };
+        let tracked = Tracked {
+            request: msg.request,
+            work: None,
+        };
         Ok(self.watch(to, tracked, frames))
     }
 
@@ -251,9 +260,15 @@
 }
 
 fn refused(to: SocketAddr) -> Error {
-    Error::new(Kind::ConnectFailed, format!("sidecar {to} refused the connection"))
+    Error::new(
+        Kind::ConnectFailed,
+        format!("sidecar {to} refused the connection"),
+    )
 }
 
 fn broke(to: SocketAddr) -> Error {
-    Error::new(Kind::StreamBroken, format!("connection to sidecar {to} broke"))
+    Error::new(
+        Kind::StreamBroken,
+        format!("connection to sidecar {to} broke"),
+    )
 }
--- a/crates/standins/src/matrix/probe.rs
+++ b/crates/standins/src/matrix/probe.rs
@@ -56,6 +56,7 @@
     armed: Option<Armed>,
     places: HashMap<RequestId, (Place, PoolName)>,
     started: Vec<Started>,
+    accepted: usize,
 }
 
 /// Watches all links and engines of a scene.
@@ -93,6 +94,18 @@
         self.lock().places.insert(request, (place, pool));
     }
 
+    /// Notes that an entry got a request.
+    pub fn note_accepted(&self) {
+        self.lock().accepted += 1;
+    }
+
+    /// Returns the number of requests that an entry got and has not dispatched.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        let state = self.lock();
+        state.accepted.saturating_sub(state.places.len())
+    }
+
     /// Notes that an engine started a request.
     pub fn note_start(&self, started: Started) {
         self.lock().started.push(started);
@@ -113,6 +126,14 @@
         }
     }
 
+    /// Tells that a request to `pool` has reached a step before it has an identity.
+    pub fn reach_at(&self, step: Step, place: Place, pool: &PoolName) {
+        let armed = self.lock().take_at(step, pool);
+        if let Some(action) = armed {
+            action(place);
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         let state = self.state.lock();
         state.expect("no panic while the probe is locked")
@@ -121,16 +142,23 @@
 
 impl State {
     fn take(&mut self, step: Step, request: RequestId) -> Option<(Action, Place)> {
-        let (place, pool) = self.places.get(&request)?;
-        let place = *place;
-        self.armed
-            .take_if(|armed| armed.step == step && armed.pool == *pool)
-            .map(|armed| (armed.action, place))
+        let (place, pool) = self.places.get(&request)?.clone();
+        let action = self.take_at(step, &pool)?;
+        Some((action, place))
+    }
+
+    fn take_at(&mut self, step: Step, pool: &PoolName) -> Option<Action> {
+        let armed = self
+            .armed
+            .take_if(|armed| armed.step == step && armed.pool == *pool)?;
+        Some(armed.action)
     }
 }
 
 impl fmt::Debug for Probe {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Probe").field("has_fired", &self.has_fired()).finish_non_exhaustive()
+        f.debug_struct("Probe")
+            .field("has_fired", &self.has_fired())
+            .finish_non_exhaustive()
     }
 }
--- /dev/null
+++ b/crates/standins/src/matrix/scene.rs
@@ -0,0 +1,517 @@
+//! A small deployment whose processes can be frozen, ended and replaced one by one.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::BytesMut;
+use eelgrassramp::Context;
+use eelgrassramp::ObjectVersion;
+use eelgrassramp::PoolName;
+use eelgrassramp::RequestId;
+use eelgrassramp::Result;
+use eelgrassramp::TableVersion;
+use eelgrassramp::engine::Engine;
+use eelgrassramp::entry;
+use eelgrassramp::link::SidecarLink;
+use eelgrassramp::num;
+use eelgrassramp::sidecar;
+use eelgrassramp::store::ObjectApi;
+use eelgrassramp::tables;
+use eelgrassramp::tables::Current;
+use eelgrassramp::tables::Document;
+use futures_util::StreamExt;
+use tokio_util::sync::CancellationToken;
+
+use super::engine::ProbedEngine;
+use super::fleet::Fleet;
+use super::fleet::Life;
+use super::gate::Gate;
+use super::link::ProbedLink;
+use super::probe::Place;
+use super::probe::Probe;
+use super::step::Step;
+use super::store::GatedStore;
+use crate::cluster::ClusterSpec;
+use crate::cluster::LocalLink;
+use crate::cluster::Member;
+use crate::cluster::Scheduling;
+use crate::cluster::document;
+use crate::cluster::entry_settings;
+use crate::cluster::sidecar_settings;
+use crate::cluster::to_caller_request;
+use crate::cluster::unused_address;
+use crate::engine::ModelEngine;
+use crate::fault::Faults;
+use crate::fault::FaultyLink;
+use crate::load::CallRequest;
+use crate::load::ClassKind;
+use crate::load::Reply;
+use crate::load::Target;
+use crate::load::Traffic;
+use crate::platform::Platform;
+use crate::platform::Settings as PlatformSettings;
+use crate::service::OrderService;
+use crate::service::Settings as ServiceSettings;
+
+/// Time after which a caller sends an order with its key again.
+const CALLER_RETRY: Duration = Duration::from_secs(1);
+
+/// One life of an entry.
+#[derive(Debug, Clone)]
+pub struct EntryLife {
+    /// Its position among the entries.
+    pub index: usize,
+    /// Its border.
+    pub gate: Arc<Gate>,
+    /// Cancelled to ask it to stop.
+    pub stop: CancellationToken,
+    /// The entry.
+    pub service: entry::Service,
+    /// The tables in force in it.
+    pub tables: Arc<Current>,
+}
+
+/// One life of a sidecar.
+#[derive(Debug, Clone)]
+pub struct SidecarLife {
+    /// Its border.
+    pub gate: Arc<Gate>,
+    /// Cancelled to ask it to stop.
+    pub stop: CancellationToken,
+    /// The sidecar.
+    pub service: sidecar::Service,
+    /// The engine behind it.
+    pub engine: Backend,
+}
+
+/// What stands behind a sidecar.
+#[derive(Debug, Clone)]
+pub enum Backend {
+    /// A model engine.
+    Model(Arc<ModelEngine>),
+    /// A plain service.
+    Plain(Arc<OrderService>),
+}
+
+impl Backend {
+    fn as_engine(&self) -> Arc<dyn Engine> {
+        match self {
+            Self::Model(engine) => Arc::clone(engine) as Arc<dyn Engine>,
+            Self::Plain(service) => Arc::clone(service) as Arc<dyn Engine>,
+        }
+    }
+}
+
+/// One call of a caller, for the checks.
+#[derive(Debug, Clone)]
+pub struct CallRecord {
+    /// What the caller was told about whether it ran.
+    pub ran: Option<String>,
+    /// The request's identity as the caller was told.
+    pub request: Option<RequestId>,
+    /// Whether its entry died, froze or was stopped under it.
+    pub entry_lost: bool,
+    /// Time that the caller allowed.
+    pub timeout: Duration,
+    /// Time from the call to its end.
+    pub took: Duration,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    entries: Vec<EntryLife>,
+    sidecars: BTreeMap<SocketAddr, SidecarLife>,
+    backends: Vec<Backend>,
+    calls: Vec<CallRecord>,
+    lives: u64,
+}
+
+/// The deployment.
+#[derive(Debug)]
+pub struct Scene {
+    /// What all processes share; its clock is the deployment's.
+    pub cx: Context,
+    /// The platform.
+    pub platform: Arc<Platform>,
+    /// The sidecars' lives as entries see them.
+    pub fleet: Arc<Fleet>,
+    /// Tells when steps are reached.
+    pub probe: Arc<Probe>,
+    /// Faults of single messages.
+    pub faults: Arc<Faults>,
+    /// The endpoints.
+    pub members: Vec<Member>,
+    /// The tables that the deployment started with.
+    pub document: Document,
+    spec: ClusterSpec,
+    local: Arc<LocalLink>,
+    state: Mutex<State>,
+}
+
+impl Scene {
+    /// Starts the deployment and waits until it can serve.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the platform or of a part that refuses its settings.
+    pub async fn start(spec: ClusterSpec, traffic: &Traffic, seed: u64) -> Result<Arc<Self>> {
+        let cx = Context::quiet(seed);
+        let members = spec.members();
+        let document = document(&members, traffic, Scheduling::Ours);
+        let scene = Arc::new(Self {
+            platform: Platform::new(PlatformSettings::default(), cx.timers.clone()),
+            fleet: Fleet::new(),
+            probe: Probe::new(),
+            faults: Faults::new(seed),
+            local: LocalLink::new(),
+            state: Mutex::default(),
+            members,
+            document,
+            spec,
+            cx,
+        });
+        for member in &scene.members {
+            scene.start_sidecar(member, None)?;
+        }
+        for i in 0..scene.spec.entries {
+            scene.start_entry(i)?;
+        }
+        let client = scene.platform.client("operator");
+        let value = scene.document.to_bytes()?;
+        client
+            .put(tables::OBJECT_KEY, ObjectVersion(0), value)
+            .await?;
+        scene.ready().await;
+        Ok(scene)
+    }
+
+    /// Waits until all entries can serve.
+    pub async fn ready(&self) {
+        while !self.entries().iter().all(|e| e.service.is_ready()) {
+            self.cx.timers.after(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Returns the present lives of the entries.
+    #[must_use]
+    pub fn entries(&self) -> Vec<EntryLife> {
+        self.lock().entries.clone()
+    }
+
+    /// Returns the present life of a sidecar.
+    #[must_use]
+    pub fn sidecar(&self, at: SocketAddr) -> Option<SidecarLife> {
+        self.lock().sidecars.get(&at).cloned()
+    }
+
+    /// Returns every engine and plain service that ever ran.
+    #[must_use]
+    pub fn backends(&self) -> Vec<Backend> {
+        self.lock().backends.clone()
+    }
+
+    /// Returns what callers were told.
+    #[must_use]
+    pub fn calls(&self) -> Vec<CallRecord> {
+        self.lock().calls.clone()
+    }
+
+    /// Returns the endpoints of a pool.
+    #[must_use]
+    pub fn pool(&self, pool: &PoolName) -> Vec<Member> {
+        let members = self.members.iter().filter(|m| m.pool == *pool);
+        members.cloned().collect()
+    }
+
+    /// Returns the table versions in force in all processes that run.
+    #[must_use]
+    pub fn versions(&self) -> Vec<TableVersion> {
+        let state = self.lock();
+        let entries = state.entries.iter().filter(|e| !e.gate.is_dead());
+        let sidecars = state.sidecars.values().filter(|s| !s.gate.is_dead());
+        let entries = entries.map(|e| e.tables.get().version);
+        let sidecars = sidecars.map(|s| s.service.current_tables().get().version);
+        entries.chain(sidecars).collect()
+    }
+
+    /// Ends an entry's process and starts a new one after some time.
+    pub fn kill_entry(self: &Arc<Self>, i: usize, restart_after: Duration) {
+        self.lock().entries[i].gate.kill();
+        let scene = Arc::clone(self);
+        tokio::spawn(async move {
+            scene.cx.timers.after(restart_after).await;
+            scene
+                .start_entry(i)
+                .expect("the settings were accepted before");
+        });
+    }
+
+    /// Ends a sidecar's process and starts a new one beside the same engine after some time.
+    pub fn kill_sidecar(self: &Arc<Self>, at: SocketAddr, restart_after: Duration) {
+        self.fleet.set(at, Life::Ended);
+        let backend = self.sidecar(at).map(|life| life.engine);
+        self.restart_sidecar(at, backend, restart_after);
+    }
+
+    /// Takes a VM away and puts a new one with a new engine in its place after some time.
+    pub fn replace_vm(self: &Arc<Self>, at: SocketAddr, after: Duration) {
+        self.fleet.set(at, Life::Gone);
+        self.restart_sidecar(at, None, after);
+    }
+
+    /// Freezes an entry for some time.
+    pub fn freeze_entry(self: &Arc<Self>, i: usize, time: Duration) {
+        let gate = Arc::clone(&self.lock().entries[i].gate);
+        gate.freeze();
+        let timers = self.cx.timers.clone();
+        tokio::spawn(async move {
+            timers.after(time).await;
+            gate.thaw();
+        });
+    }
+
+    /// Starts a life of a sidecar; without `backend`, a new engine starts with it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of settings that are refused.
+    pub fn start_sidecar(&self, member: &Member, backend: Option<Backend>) -> Result<()> {
+        let seed = self.next_seed();
+        let backend = backend.unwrap_or_else(|| self.start_backend(member, seed));
+        let gate = Gate::new();
+        let stop = self.cx.stop.child_token();
+        let cx = Context {
+            seed: Some(seed),
+            stop: stop.clone(),
+            ..self.cx.clone()
+        };
+        let engine = Arc::new(ProbedEngine {
+            gate: Arc::clone(&gate),
+            fleet: Arc::clone(&self.fleet),
+            probe: Arc::clone(&self.probe),
+            inner: backend.as_engine(),
+        });
+        let store = Arc::new(GatedStore {
+            gate: Arc::clone(&gate),
+            inner: self.platform.client(&format!("sidecar {}", member.name)),
+        });
+        let settings = sidecar_settings(&self.spec, member, unused_address(), None)?;
+        let service = sidecar::Service::start(settings, engine, Some(store), cx);
+        self.local.insert(member.sidecar, service.clone());
+        self.fleet
+            .set(member.sidecar, Life::Running(Arc::clone(&gate)));
+        let life = SidecarLife {
+            gate,
+            stop,
+            service,
+            engine: backend,
+        };
+        self.lock().sidecars.insert(member.sidecar, life);
+        Ok(())
+    }
+
+    /// Starts a life of an entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of settings that are refused.
+    pub fn start_entry(&self, i: usize) -> Result<()> {
+        let seed = self.next_seed();
+        let gate = Gate::new();
+        let stop = self.cx.stop.child_token();
+        let cx = Context {
+            seed: Some(seed),
+            stop: stop.clone(),
+            ..self.cx.clone()
+        };
+        let name = format!("entry-{i}");
+        let unused = unused_address();
+        let mut settings = entry_settings(&name, unused, unused, Scheduling::Ours)?;
+        settings.peers = self.members.iter().map(|m| m.sidecar).collect();
+        let tables = Arc::new(Current::default());
+        let api = Arc::new(GatedStore {
+            gate: Arc::clone(&gate),
+            inner: self.platform.client(&name),
+        });
+        let link = self.entry_link(i, &gate);
+        let service = entry::Service::new(settings, link, Arc::clone(&tables), cx.clone());
+        tokio::spawn(tables::follow(cx, api, Arc::clone(&tables)));
+        let life = EntryLife {
+            index: i,
+            gate,
+            stop,
+            service,
+            tables,
+        };
+        let mut state = self.lock();
+        if i < state.entries.len() {
+            state.entries[i] = life;
+        } else {
+            state.entries.push(life);
+        }
+        Ok(())
+    }
+
+    fn entry_link(&self, entry: usize, gate: &Arc<Gate>) -> Arc<dyn SidecarLink> {
+        let local = Arc::clone(&self.local) as Arc<dyn SidecarLink>;
+        Arc::new(ProbedLink {
+            entry,
+            gate: Arc::clone(gate),
+            fleet: Arc::clone(&self.fleet),
+            probe: Arc::clone(&self.probe),
+            inner: FaultyLink::new(local, Arc::clone(&self.faults), self.cx.timers.clone()),
+            timers: self.cx.timers.clone(),
+        })
+    }
+
+    fn start_backend(&self, member: &Member, seed: u64) -> Backend {
+        let timers = self.cx.timers.clone();
+        let backend = match member.kind {
+            ClassKind::Model => {
+                let settings = self.spec.engine_settings(member, seed);
+                Backend::Model(ModelEngine::start(settings, timers))
+            }
+            ClassKind::Charge => {
+                let settings = ServiceSettings {
+                    latency: Duration::from_millis(self.spec.service_latency_ms),
+                    slots: self.spec.service_slots,
+                    seed,
+                    ..ServiceSettings::default()
+                };
+                Backend::Plain(OrderService::new(settings, timers))
+            }
+        };
+        self.lock().backends.push(backend.clone());
+        backend
+    }
+
+    fn restart_sidecar(
+        self: &Arc<Self>,
+        at: SocketAddr,
+        backend: Option<Backend>,
+        after: Duration,
+    ) {
+        let scene = Arc::clone(self);
+        tokio::spawn(async move {
+            scene.cx.timers.after(after).await;
+            let member = scene.members.iter().find(|m| m.sidecar == at);
+            let member = member.expect("only members are restarted").clone();
+            let started = scene.start_sidecar(&member, backend);
+            started.expect("the settings were accepted before");
+        });
+    }
+
+    /// Makes one call through the entry that a balancer would choose.
+    async fn call_once(&self, req: CallRequest, turn: u64) -> Reply {
+        let start = self.cx.timers.now();
+        let life = self.balance(turn);
+        let timeout = timeout_of(&req);
+        let pool = self.pool_of(&req.path);
+        let sidecar = self.pool(&pool)[0].sidecar;
+        let accepted = Place {
+            entry: life.index,
+            sidecar,
+        };
+        self.probe.note_accepted();
+        self.probe.reach_at(Step::Accept, accepted, &pool);
+        let reply = tokio::select! {
+            biased;
+            () = life.gate.died() => None,
+            reply = self.read(&life, req) => Some(reply),
+        };
+        let entry_lost = reply.is_none() || life.gate.was_frozen();
+        let reply = reply.unwrap_or_else(Reply::none);
+        let record = CallRecord {
+            ran: reply.ran.clone(),
+            request: reply.request.as_deref().and_then(|text| text.parse().ok()),
+            entry_lost,
+            timeout,
+            took: self.cx.timers.now().since(start),
+        };
+        self.lock().calls.push(record);
+        reply
+    }
+
+    async fn read(&self, life: &EntryLife, req: CallRequest) -> Reply {
+        life.gate.pass().await;
+        let mut answer = life.service.call(to_caller_request(req)).await;
+        self.probe.reach(Step::Answer, answer.head.request);
+        let mut reply = Reply {
+            status: answer.head.status,
+            ran: Some(answer.head.ran.as_str().to_owned()),
+            request: Some(answer.head.request.to_string()),
+            whole: true,
+            ..Reply::none()
+        };
+        let mut buf = BytesMut::new();
+        while let Some(piece) = answer.body.next().await {
+            life.gate.pass().await;
+            let Ok(piece) = piece else {
+                reply.whole = false;
+                break;
+            };
+            buf.extend_from_slice(&piece);
+        }
+        life.gate.pass().await;
+        reply.body = buf.freeze();
+        reply
+    }
+
+    fn pool_of(&self, path: &str) -> PoolName {
+        let routes = &self.document.routes;
+        let route = routes.iter().find(|r| r.path == path);
+        route.map_or_else(|| self.spec.pool.clone(), |r| r.pool.clone())
+    }
+
+    fn balance(&self, turn: u64) -> EntryLife {
+        let entries = self.entries();
+        let start = num::length(turn);
+        let mut turns = (0..entries.len()).map(|i| &entries[(start + i) % entries.len()]);
+        let ready = turns.find(|e| !e.gate.is_dead() && e.service.is_ready());
+        ready.unwrap_or(&entries[start % entries.len()]).clone()
+    }
+
+    fn next_seed(&self) -> u64 {
+        let mut state = self.lock();
+        state.lives += 1;
+        let seed = self.cx.seed.unwrap_or_default();
+        seed.wrapping_mul(31).wrapping_add(state.lives)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .expect("no panic while the scene is locked")
+    }
+}
+
+#[async_trait]
+impl Target for Scene {
+    async fn call(&self, req: CallRequest) -> Reply {
+        let turn = req.number;
+        let is_keyed = req
+            .headers
+            .iter()
+            .any(|(name, _)| *name == "idempotency-key");
+        let reply = self.call_once(req.clone(), turn).await;
+        if !is_keyed || (reply.whole && reply.status == 200) {
+            return reply;
+        }
+        self.cx.timers.after(CALLER_RETRY).await;
+        self.call_once(req, turn + 1).await
+    }
+}
+
+fn timeout_of(req: &CallRequest) -> Duration {
+    let header = req
+        .headers
+        .iter()
+        .find(|(name, _)| *name == "eelgrassramp-deadline-ms");
+    let ms = header.and_then(|(_, value)| value.parse().ok());
+    Duration::from_millis(ms.expect("every call of a load carries its deadline"))
+}
