--- a/crates/standins/src/matrix/request.rs
+++ b/crates/standins/src/matrix/request.rs
@@ -97,14 +97,11 @@
 }
 
 async fn load(scene: &Arc<Scene>, rate: f64, time: Duration, seed: u64) -> Vec<Sample> {
-    let arrivals = Arrivals::new(deployment::traffic(), rate, seed);
+    let unix_ms = scene.cx.timers.wall_now().as_millisecond();
+    let unix_ms = u64::try_from(unix_ms).unwrap_or(0);
+    let arrivals = Arrivals::new(deployment::traffic(), rate, seed, unix_ms);
     let arrivals = arrivals.take_while(|a| a.at < time);
     let target = Arc::clone(scene) as Arc<dyn crate::load::Target>;
-    // Requests of different loads of one scene must not share numbers or keys.
-    let arrivals = arrivals.map(move |mut a| {
-        a.key = a.key.map(|key| format!("{key}-{seed}"));
-        a
-    });
     drive(arrivals, target, scene.cx.timers.clone(), |_| {}).await
 }
 
