--- a/crates/standins/src/matrix.rs
+++ b/crates/standins/src/matrix.rs
@@ -24,5 +24,7 @@
 pub use self::step::Step;
 pub use self::table::Cell;
 pub use self::table::CellReport;
+pub use self::table::CellRun;
 pub use self::table::cell;
 pub use self::table::run;
+pub use self::table::run_course;
--- a/crates/standins/src/matrix/table.rs
+++ b/crates/standins/src/matrix/table.rs
@@ -1,5 +1,8 @@
 //! The cells of the fault matrix: what runs and what cannot occur.
 
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
 use eelgrassramp::Result;
 
 use super::column::Column;
@@ -62,3 +65,70 @@
         Course::Change | Course::Move | Course::Stop => Ok(Vec::new()),
     }
 }
+
+/// One cell that was run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CellRun {
+    /// The row.
+    pub step: Step,
+    /// The column.
+    pub column: Column,
+    /// One report for each deployment that was run.
+    pub reports: Vec<CellReport>,
+}
+
+impl CellRun {
+    /// Returns a sentence for every promise that was broken.
+    pub fn broken(&self) -> impl Iterator<Item = &str> {
+        self.reports
+            .iter()
+            .flat_map(|r| &r.broken)
+            .map(String::as_str)
+    }
+}
+
+/// Runs all cells of a course that can occur, on several threads.
+///
+/// Each cell has a runtime of its own whose clock is paused, so the outcome does not depend on
+/// the number of threads.
+///
+/// # Errors
+///
+/// Returns the error of the first deployment that could not be started.
+pub fn run_course(course: Course, seed: u64, threads: usize) -> Result<Vec<CellRun>> {
+    let steps = Step::ALL.iter().filter(|s| s.course() == course);
+    let cells = steps.flat_map(|step| Column::ALL.iter().map(|column| (*step, *column)));
+    let cells: Vec<_> = cells.filter(|(s, c)| cell(*s, *c) == Cell::Runs).collect();
+    let next = AtomicUsize::new(0);
+    let work = || -> Result<Vec<CellRun>> {
+        let mut runs = Vec::new();
+        while let Some((step, column)) = cells.get(next.fetch_add(1, Ordering::Relaxed)) {
+            let reports = run_paused(run(*step, *column, seed))?;
+            runs.push(CellRun {
+                step: *step,
+                column: *column,
+                reports,
+            });
+        }
+        Ok(runs)
+    };
+    let mut runs = std::thread::scope(|scope| -> Result<Vec<CellRun>> {
+        let threads: Vec<_> = (0..threads).map(|_| scope.spawn(work)).collect();
+        let mut runs = Vec::new();
+        for thread in threads {
+            runs.extend(thread.join().expect("a cell panicked")?);
+        }
+        Ok(runs)
+    })?;
+    runs.sort_by_key(|run| (run.step, run.column));
+    Ok(runs)
+}
+
+fn run_paused<T>(work: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime without sockets starts");
+    runtime.block_on(work)
+}
--- /dev/null
+++ b/crates/standins/tests/matrix.rs
@@ -0,0 +1,27 @@
+//! The fault matrix with a fixed seed.
+
+use eelgrassramp_standins::matrix::CellRun;
+use eelgrassramp_standins::matrix::Course;
+use eelgrassramp_standins::matrix::run_course;
+use googletest::prelude::*;
+
+const SEED: u64 = 20_261_204;
+const THREADS: usize = 4;
+
+fn broken(runs: &[CellRun]) -> Vec<String> {
+    let sentences = |run: &CellRun| {
+        let cell = format!("{} × {}", run.step.as_str(), run.column.as_str());
+        run.broken()
+            .map(|what| format!("{cell}: {what}"))
+            .collect::<Vec<_>>()
+    };
+    runs.iter().flat_map(sentences).collect()
+}
+
+#[gtest]
+fn requests_keep_their_promises() {
+    let runs = run_course(Course::Request, SEED, THREADS).expect("the deployments start");
+
+    expect_that!(runs.len(), gt(0));
+    expect_that!(broken(&runs), is_empty());
+}
