--- a/crates/standins/src/matrix.rs
+++ b/crates/standins/src/matrix.rs
@@ -4,6 +4,7 @@
 //! whole deployment under a paused clock, injects the fault when a request, change, move or
 //! stop first reaches the step, and checks afterwards what callers and engines saw.
 
+mod change;
 mod checks;
 mod column;
 mod deployment;
@@ -16,6 +17,7 @@
 mod request;
 mod scene;
 mod step;
+mod stop;
 mod store;
 mod table;
 
--- a/crates/standins/src/matrix/checks.rs
+++ b/crates/standins/src/matrix/checks.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use eelgrassramp::Monotonic;
@@ -97,9 +98,13 @@
 
 fn shed_orders(scene: &Scene, samples: &[Sample], load_start: Monotonic) -> Vec<String> {
     let started = scene.probe.started();
+    // A process that stood still until the deadline had passed could not pass the order on.
+    let lost = scene.calls().into_iter().filter(|c| c.entry_lost);
+    let lost: HashSet<_> = lost.map(|c| c.request).collect();
+    let is_lost = |s: &Sample| lost.contains(&s.request.as_deref().and_then(|id| id.parse().ok()));
     let orders = samples
         .iter()
-        .filter(|s| s.tier == Tier::Order && is_shed(&s.outcome));
+        .filter(|s| s.tier == Tier::Order && is_shed(&s.outcome) && !is_lost(s));
     let mut broken = Vec::new();
     for order in orders {
         let document = &scene.document;
--- a/crates/standins/src/matrix/gate.rs
+++ b/crates/standins/src/matrix/gate.rs
@@ -1,11 +1,16 @@
 //! Freezes or ends one process as the others see it.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
 
+use eelgrassramp::Monotonic;
 use tokio::sync::watch;
 
+/// Time within which the balancer notices that a process does not answer.
+const HEALTH_CHECK: Duration = Duration::from_secs(1);
+
 /// What state a process is in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
@@ -20,7 +25,7 @@
 #[derive(Debug)]
 pub struct Gate {
     state: watch::Sender<State>,
-    was_frozen: AtomicBool,
+    frozen_at: Mutex<Option<Monotonic>>,
 }
 
 impl Gate {
@@ -30,13 +35,13 @@
         let (state, _) = watch::channel(State::Running);
         Arc::new(Self {
             state,
-            was_frozen: AtomicBool::new(false),
+            frozen_at: Mutex::new(None),
         })
     }
 
     /// Stops the process until [`Gate::thaw`].
-    pub fn freeze(&self) {
-        self.was_frozen.store(true, Ordering::Relaxed);
+    pub fn freeze(&self, now: Monotonic) {
+        *self.lock() = Some(now);
         self.turn(State::Frozen);
     }
 
@@ -56,10 +61,27 @@
         *self.state.borrow() == State::Dead
     }
 
+    /// Tells whether the process is frozen.
+    #[must_use]
+    pub fn is_frozen(&self) -> bool {
+        *self.state.borrow() == State::Frozen
+    }
+
     /// Tells whether the process was ever frozen.
     #[must_use]
     pub fn was_frozen(&self) -> bool {
-        self.was_frozen.load(Ordering::Relaxed)
+        self.lock().is_some()
+    }
+
+    /// Tells whether a health check of the balancer still finds the process in service.
+    #[must_use]
+    pub fn answers_since(&self, now: Monotonic) -> bool {
+        let frozen_at = *self.lock();
+        match *self.state.borrow() {
+            State::Running => true,
+            State::Frozen => frozen_at.is_none_or(|at| now.since(at) < HEALTH_CHECK),
+            State::Dead => false,
+        }
     }
 
     /// Waits while the process is frozen, and for good when it is dead.
@@ -79,6 +101,12 @@
         }
     }
 
+    fn lock(&self) -> MutexGuard<'_, Option<Monotonic>> {
+        self.frozen_at
+            .lock()
+            .expect("no panic while the gate is locked")
+    }
+
     fn turn(&self, to: State) {
         self.state.send_if_modified(|state| {
             let changes = *state != State::Dead && *state != to;
--- a/crates/standins/src/matrix/inflict.rs
+++ b/crates/standins/src/matrix/inflict.rs
@@ -27,6 +27,9 @@
 /// Time that a paused process stands still; it is longer than a lease lasts.
 pub const PAUSE: Duration = Duration::from_secs(20);
 
+/// Time after which an operator repeats a command that failed.
+const OPERATOR_RETRY: Duration = Duration::from_millis(500);
+
 const SLOW_STORE: Duration = Duration::from_secs(2);
 const LATE_REPORT: Duration = Duration::from_secs(5);
 const LATE_DUPLICATE: Duration = Duration::from_millis(700);
@@ -41,12 +44,18 @@
         Column::Paused => scene.freeze_entry(place.entry, PAUSE),
         Column::EngineSlow => slow_engine(scene, place),
         Column::EngineFails => fail_engine(scene, place),
-        Column::StoreDown => store_fault(scene, |f| f.outage = true, |f| f.outage = false),
-        Column::StoreSlow => store_fault(
-            scene,
-            |f| f.delay = SLOW_STORE,
-            |f| f.delay = Duration::ZERO,
-        ),
+        Column::StoreDown => {
+            store_fault(scene, |f| f.outage = true, |f| f.outage = false);
+            call_store(scene);
+        }
+        Column::StoreSlow => {
+            store_fault(
+                scene,
+                |f| f.delay = SLOW_STORE,
+                |f| f.delay = Duration::ZERO,
+            );
+            call_store(scene);
+        }
         Column::ReplyLost => lose_replies(scene),
         Column::ReportStale => {
             scene.fleet.delay_reports(LATE_REPORT);
@@ -118,6 +127,12 @@
     heal(scene, move |scene| scene.platform.set_faults(end));
 }
 
+/// Reads once, so that the fault shows even while no process needs the object API.
+fn call_store(scene: &Arc<Scene>) {
+    let client = scene.platform.client("operator");
+    tokio::spawn(async move { client.get(tables::OBJECT_KEY).await });
+}
+
 fn lose_replies(scene: &Arc<Scene>) {
     scene.platform.set_faults(|f| f.lost_replies = LOST_REPLIES);
     let scene = Arc::clone(scene);
@@ -214,11 +229,22 @@
         .expect("a document that was read can be written")
 }
 
-/// Writes changed tables and returns their version.
-pub async fn edit(scene: &Scene, message: &str) -> eelgrassramp::Result<ObjectVersion> {
+/// Writes changed tables as an operator does: again after a failure, until it is settled.
+pub async fn edit(scene: &Scene, message: &str) -> ObjectVersion {
     let client = scene.platform.client("operator");
-    let base = client.get(tables::OBJECT_KEY).await?;
-    client
-        .put(tables::OBJECT_KEY, base.version, edited(scene, message))
-        .await
+    let wanted = edited(scene, message);
+    loop {
+        if let Ok(base) = client.get(tables::OBJECT_KEY).await {
+            if base.value == wanted {
+                return base.version;
+            }
+            let written = client
+                .put(tables::OBJECT_KEY, base.version, wanted.clone())
+                .await;
+            if let Ok(version) = written {
+                return version;
+            }
+        }
+        scene.cx.timers.after(OPERATOR_RETRY).await;
+    }
 }
--- a/crates/standins/src/matrix/link.rs
+++ b/crates/standins/src/matrix/link.rs
@@ -189,7 +189,12 @@
     fn note_start(&self) {
         if let Some((pool, tier)) = self.tracked.work.clone() {
             let at = self.timers.now();
-            self.probe.note_start(Started { at, pool, tier });
+            self.probe.note_start(Started {
+                at,
+                sidecar: self.to,
+                pool,
+                tier,
+            });
         }
     }
 }
--- a/crates/standins/src/matrix/probe.rs
+++ b/crates/standins/src/matrix/probe.rs
@@ -37,6 +37,8 @@
 pub struct Started {
     /// When.
     pub at: Monotonic,
+    /// The sidecar of the endpoint.
+    pub sidecar: SocketAddr,
     /// The pool that served it.
     pub pool: PoolName,
     /// Its tier.
--- a/crates/standins/src/matrix/request.rs
+++ b/crates/standins/src/matrix/request.rs
@@ -25,18 +25,18 @@
 use crate::load::drive;
 
 /// Load at which everything is served.
-const CALM_PER_SECOND: f64 = 10.0;
+pub(super) const CALM_PER_SECOND: f64 = 10.0;
 
 /// Load at which requests wait at entries.
 const CROWDED_PER_SECOND: f64 = 40.0;
 
 /// Time before the fault is armed.
-const WARM_UP: Duration = Duration::from_secs(1);
+pub(super) const WARM_UP: Duration = Duration::from_secs(1);
 
 /// Time after the end of a fault until everything must be served again.
-const SETTLE: Duration = Duration::from_secs(5);
+pub(super) const SETTLE: Duration = Duration::from_secs(5);
 
-const AFTER: Duration = Duration::from_secs(2);
+pub(super) const AFTER: Duration = Duration::from_secs(2);
 
 /// Requests that must wait before a fault is injected into the queue.
 const WAITING: usize = 3;
@@ -96,7 +96,8 @@
     WARM_UP + fault + Duration::from_secs(3)
 }
 
-async fn load(scene: &Arc<Scene>, rate: f64, time: Duration, seed: u64) -> Vec<Sample> {
+/// Sends a load to a scene and returns what became of it.
+pub(super) async fn load(scene: &Arc<Scene>, rate: f64, time: Duration, seed: u64) -> Vec<Sample> {
     let unix_ms = scene.cx.timers.wall_now().as_millisecond();
     let unix_ms = u64::try_from(unix_ms).unwrap_or(0);
     let arrivals = Arrivals::new(deployment::traffic(), rate, seed, unix_ms);
@@ -139,7 +140,7 @@
 ///
 /// A new life of a sidecar cannot know which idempotency keys the former one ran, so it may
 /// leave the outcome of keyed orders open for the key retention.
-fn not_recovered(column: Column, after: &[Sample]) -> Vec<String> {
+pub(super) fn not_recovered(column: Column, after: &[Sample]) -> Vec<String> {
     let forgets_keys = matches!(
         column,
         Column::SidecarDies | Column::VmReplaced | Column::StoreAndSidecar
--- a/crates/standins/src/matrix/scene.rs
+++ b/crates/standins/src/matrix/scene.rs
@@ -10,6 +10,7 @@
 use async_trait::async_trait;
 use bytes::BytesMut;
 use eelgrassramp::Context;
+use eelgrassramp::Monotonic;
 use eelgrassramp::ObjectVersion;
 use eelgrassramp::PoolName;
 use eelgrassramp::RequestId;
@@ -66,6 +67,8 @@
 pub struct EntryLife {
     /// Its position among the entries.
     pub index: usize,
+    /// When it started.
+    pub since: Monotonic,
     /// Its border.
     pub gate: Arc<Gate>,
     /// Cancelled to ask it to stop.
@@ -79,6 +82,8 @@
 /// One life of a sidecar.
 #[derive(Debug, Clone)]
 pub struct SidecarLife {
+    /// When it started.
+    pub since: Monotonic,
     /// Its border.
     pub gate: Arc<Gate>,
     /// Cancelled to ask it to stop.
@@ -107,6 +112,19 @@
     }
 }
 
+/// The tables in force in one process.
+#[derive(Debug, Clone)]
+pub struct InForce {
+    /// The process.
+    pub process: String,
+    /// When it started.
+    pub since: Monotonic,
+    /// Its border.
+    pub gate: Arc<Gate>,
+    /// The version of the tables.
+    pub version: TableVersion,
+}
+
 /// One call of a caller, for the checks.
 #[derive(Debug, Clone)]
 pub struct CallRecord {
@@ -228,15 +246,26 @@
         members.cloned().collect()
     }
 
-    /// Returns the table versions in force in all processes that run.
+    /// Returns the tables in force in every process that runs.
     #[must_use]
-    pub fn versions(&self) -> Vec<TableVersion> {
+    pub fn in_force(&self) -> Vec<InForce> {
         let state = self.lock();
-        let entries = state.entries.iter().filter(|e| !e.gate.is_dead());
-        let sidecars = state.sidecars.values().filter(|s| !s.gate.is_dead());
-        let entries = entries.map(|e| e.tables.get().version);
-        let sidecars = sidecars.map(|s| s.service.current_tables().get().version);
-        entries.chain(sidecars).collect()
+        let entries = state.entries.iter().map(|e| InForce {
+            process: format!("entry {}", e.index),
+            since: e.since,
+            gate: Arc::clone(&e.gate),
+            version: e.tables.get().version,
+        });
+        let sidecars = state.sidecars.iter().map(|(at, s)| InForce {
+            process: format!("sidecar {at}"),
+            since: s.since,
+            gate: Arc::clone(&s.gate),
+            version: s.service.current_tables().get().version,
+        });
+        entries
+            .chain(sidecars)
+            .filter(|p| !p.gate.is_dead())
+            .collect()
     }
 
     /// Ends an entry's process and starts a new one after some time.
@@ -267,7 +296,7 @@
     /// Freezes an entry for some time.
     pub fn freeze_entry(self: &Arc<Self>, i: usize, time: Duration) {
         let gate = Arc::clone(&self.lock().entries[i].gate);
-        gate.freeze();
+        gate.freeze(self.cx.timers.now());
         let timers = self.cx.timers.clone();
         tokio::spawn(async move {
             timers.after(time).await;
@@ -306,6 +335,7 @@
         self.fleet
             .set(member.sidecar, Life::Running(Arc::clone(&gate)));
         let life = SidecarLife {
+            since: self.cx.timers.now(),
             gate,
             stop,
             service,
@@ -343,6 +373,7 @@
         tokio::spawn(tables::follow(cx, api, Arc::clone(&tables)));
         let life = EntryLife {
             index: i,
+            since: self.cx.timers.now(),
             gate,
             stop,
             service,
@@ -472,7 +503,8 @@
         let entries = self.entries();
         let start = num::length(turn);
         let mut turns = (0..entries.len()).map(|i| &entries[(start + i) % entries.len()]);
-        let ready = turns.find(|e| !e.gate.is_dead() && e.service.is_ready());
+        let now = self.cx.timers.now();
+        let ready = turns.find(|e| e.gate.answers_since(now) && e.service.is_ready());
         ready.unwrap_or(&entries[start % entries.len()]).clone()
     }
 
--- a/crates/standins/src/matrix/table.rs
+++ b/crates/standins/src/matrix/table.rs
@@ -5,11 +5,14 @@
 
 use eelgrassramp::Result;
 
+use super::change;
 use super::column::Column;
 use super::deployment;
 use super::request;
 use super::step::Course;
 use super::step::Step;
+use super::stop;
+use super::stop::Subject;
 
 /// What one run of a cell showed.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -62,7 +65,13 @@
             let service = request::run(step, column, deployment::service_pool(), seed).await?;
             Ok(vec![model, service])
         }
-        Course::Change | Course::Move | Course::Stop => Ok(Vec::new()),
+        Course::Change => Ok(vec![change::run(step, column, seed).await?]),
+        Course::Stop => {
+            let entry = stop::run(step, column, Subject::Entry, seed).await?;
+            let sidecar = stop::run(step, column, Subject::Sidecar, seed).await?;
+            Ok(vec![entry, sidecar])
+        }
+        Course::Move => Ok(Vec::new()),
     }
 }
 
--- a/crates/standins/tests/matrix.rs
+++ b/crates/standins/tests/matrix.rs
@@ -25,3 +25,19 @@
     expect_that!(runs.len(), gt(0));
     expect_that!(broken(&runs), is_empty());
 }
+
+#[gtest]
+fn changes_of_the_tables_keep_their_promises() {
+    let runs = run_course(Course::Change, SEED, THREADS).expect("the deployments start");
+
+    expect_that!(runs.len(), gt(0));
+    expect_that!(broken(&runs), is_empty());
+}
+
+#[gtest]
+fn planned_stops_keep_their_promises() {
+    let runs = run_course(Course::Stop, SEED, THREADS).expect("the deployments start");
+
+    expect_that!(runs.len(), gt(0));
+    expect_that!(broken(&runs), is_empty());
+}
