--- a/crates/eelgrassramp/src/lib.rs
+++ b/crates/eelgrassramp/src/lib.rs
@@ -33,6 +33,7 @@
 mod process;
 pub mod proof;
 pub mod retry;
+pub mod rollout;
 pub mod routing;
 pub mod sidecar;
 pub mod store;
--- /dev/null
+++ b/crates/eelgrassramp/src/rollout/board.rs
@@ -0,0 +1,49 @@
+//! What a process shares between its moves and its routing.
+
+use std::fmt::Debug;
+
+use crate::entry::Service;
+use crate::name::EndpointName;
+use crate::name::PoolName;
+use crate::wire::Brake;
+use crate::wire::PoolSplit;
+
+/// The brakes, splits and leaving endpoints that this process routes by.
+pub trait Board: Debug + Send + Sync {
+    /// Returns the known brakes of a pool.
+    fn brakes(&self, pool: &PoolName) -> Vec<Brake>;
+
+    /// Returns the newest known split of a pool.
+    fn split(&self, pool: &PoolName) -> Option<PoolSplit>;
+
+    /// Returns the endpoints that are known to leave.
+    fn leaving(&self) -> Vec<EndpointName>;
+
+    /// Puts a brake in force in this process at once.
+    fn add_brake(&self, brake: Brake);
+
+    /// Puts a split in force in this process, unless a newer one is.
+    fn add_split(&self, split: PoolSplit);
+}
+
+impl Board for Service {
+    fn brakes(&self, pool: &PoolName) -> Vec<Brake> {
+        self.with_knowledge(|known| known.brakes_of(pool).cloned().collect())
+    }
+
+    fn split(&self, pool: &PoolName) -> Option<PoolSplit> {
+        self.with_knowledge(|known| known.split(pool).cloned())
+    }
+
+    fn leaving(&self) -> Vec<EndpointName> {
+        self.with_knowledge(|known| known.leaving().cloned().collect())
+    }
+
+    fn add_brake(&self, brake: Brake) {
+        self.with_knowledge(|known| known.add_brake(brake));
+    }
+
+    fn add_split(&self, split: PoolSplit) {
+        self.with_knowledge(|known| known.add_split(split));
+    }
+}
