--- a/crates/standins/tests/matrix.rs
+++ b/crates/standins/tests/matrix.rs
@@ -3,6 +3,7 @@
 use eelgrassramp_standins::matrix::CellRun;
 use eelgrassramp_standins::matrix::Course;
 use eelgrassramp_standins::matrix::run_course;
+use eelgrassramp_standins::matrix::to_markdown;
 use googletest::prelude::*;
 
 const SEED: u64 = 20_261_204;
@@ -41,3 +42,10 @@
     expect_that!(runs.len(), gt(0));
     expect_that!(broken(&runs), is_empty());
 }
+
+#[gtest]
+fn the_page_shows_the_matrix() {
+    let page = include_str!("../../../docs/FAULTS.md");
+
+    expect_that!(page, contains_substring(to_markdown().as_str()));
+}
