--- a/crates/standins/src/matrix/stop.rs
+++ b/crates/standins/src/matrix/stop.rs
@@ -158,7 +158,7 @@
     if step == Step::Gone {
         strike();
     }
-    broken.extend(restart(&scene, subject, &member, signal).await);
+    broken.extend(restart(&scene, subject, &member, signal));
     broken
 }
 
@@ -177,7 +177,7 @@
     }
 }
 
-async fn restart(
+fn restart(
     scene: &Arc<Scene>,
     subject: Subject,
     member: &crate::cluster::Member,
--- a/crates/standins/src/matrix/table.rs
+++ b/crates/standins/src/matrix/table.rs
@@ -107,6 +107,10 @@
 /// # Errors
 ///
 /// Returns the error of the first deployment that could not be started.
+///
+/// # Panics
+///
+/// Panics when a cell panics, as when an invariant inside the program does not hold.
 pub fn run_course(course: Course, seed: u64, threads: usize) -> Result<Vec<CellRun>> {
     let steps = Step::ALL.iter().filter(|s| s.course() == course);
     let cells = steps.flat_map(|step| Column::ALL.iter().map(|column| (*step, *column)));
