--- a/crates/eelgrassramp/src/sidecar/cache.rs
+++ b/crates/eelgrassramp/src/sidecar/cache.rs
@@ -13,10 +13,11 @@
 
 /// A copy of the cache's contents with the latest changes.
 ///
-/// An entry that holds an older sequence number than the kept changes gets the whole content,
-/// so that a gap in the engine's events never leaves an entry with a wrong picture for good.
-#[derive(Debug, Default)]
+/// Changes get sequence numbers of the sidecar's own, because an engine that has lost an event
+/// cannot tell, and what the next whole report corrects must reach the entries as a change.
+#[derive(Debug)]
 pub struct CacheIndex {
+    engine_seq: u64,
     seq: u64,
     blocks: HashSet<u64>,
     changes: VecDeque<Change>,
@@ -31,36 +32,33 @@
 }
 
 impl CacheIndex {
-    /// Returns the sequence number up to which the cache is known.
+    /// Starts with an empty cache; `first_seq` has to be above the numbers of former lives.
+    #[must_use]
+    pub fn new(first_seq: u64) -> Self {
+        Self {
+            engine_seq: 0,
+            seq: first_seq,
+            blocks: HashSet::new(),
+            changes: VecDeque::new(),
+            changes_after: first_seq,
+        }
+    }
+
+    /// Returns the engine's sequence number up to which its events are known.
     #[must_use]
-    pub const fn seq(&self) -> u64 {
-        self.seq
+    pub const fn engine_seq(&self) -> u64 {
+        self.engine_seq
     }
 
-    /// Takes in the engine's answer to a question for the changes after [`Self::seq`].
+    /// Takes in the engine's answer to a question for the events after [`Self::engine_seq`]
+    /// or for its whole content.
     pub fn apply(&mut self, update: CacheUpdate) {
-        if update.whole || update.seq < self.seq {
-            self.replace(update);
-            return;
-        }
-        if update.seq == self.seq {
-            return;
-        }
-        for block in &update.removed {
-            self.blocks.remove(block);
-        }
-        self.blocks.extend(&update.added);
-        self.blocks_within_bounds();
-        self.seq = update.seq;
-        self.changes.push_back(Change {
-            seq: update.seq,
-            added: update.added,
-            removed: update.removed,
-        });
-        if self.changes.len() > MAX_CHANGES
-            && let Some(oldest) = self.changes.pop_front()
-        {
-            self.changes_after = oldest.seq;
+        if update.whole {
+            self.engine_seq = update.seq;
+            self.replace(update.added);
+        } else if update.seq > self.engine_seq {
+            self.engine_seq = update.seq;
+            self.change(update.added, update.removed);
         }
     }
 
@@ -88,20 +86,44 @@
         update
     }
 
-    fn replace(&mut self, update: CacheUpdate) {
-        self.seq = update.seq;
-        self.blocks = update.added.into_iter().take(MAX_BLOCKS).collect();
-        self.changes.clear();
-        self.changes_after = update.seq;
+    /// Takes the whole content in as the difference to what was known.
+    fn replace(&mut self, content: Vec<u64>) {
+        let content: HashSet<u64> = content.into_iter().take(MAX_BLOCKS).collect();
+        let added = content.difference(&self.blocks).copied().collect();
+        let removed = self.blocks.difference(&content).copied().collect();
+        self.change(added, removed);
     }
 
-    /// Forgets everything when the engine's events claim more blocks than a cache can hold,
-    /// which happens when removals were lost.
-    fn blocks_within_bounds(&mut self) {
+    fn change(&mut self, added: Vec<u64>, removed: Vec<u64>) {
+        if added.is_empty() && removed.is_empty() {
+            return;
+        }
+        for block in &removed {
+            self.blocks.remove(block);
+        }
+        self.blocks.extend(&added);
+        self.seq += 1;
         if self.blocks.len() > MAX_BLOCKS {
-            self.blocks.clear();
-            self.changes.clear();
-            self.changes_after = self.seq;
+            self.forget();
+            return;
         }
+        self.changes.push_back(Change {
+            seq: self.seq,
+            added,
+            removed,
+        });
+        if self.changes.len() > MAX_CHANGES
+            && let Some(oldest) = self.changes.pop_front()
+        {
+            self.changes_after = oldest.seq;
+        }
+    }
+
+    /// Starts again from an empty cache, since events that claim more blocks than a cache can
+    /// hold show that removals were lost.
+    fn forget(&mut self) {
+        self.blocks.clear();
+        self.changes.clear();
+        self.changes_after = self.seq;
     }
 }
--- a/crates/eelgrassramp/src/sidecar/scheduler.rs
+++ b/crates/eelgrassramp/src/sidecar/scheduler.rs
@@ -225,16 +225,25 @@
 
     /// Tells whether a request can be answered in time, judged by measured speed.
     ///
-    /// An idle endpoint always takes a request, since only requests measure its speed.
+    /// An idle endpoint always takes a request, since only requests measure its speed, and an
+    /// order is not refused on a prediction while less urgent work is served.
     fn can_meet(&self, now: Monotonic, ticket: &Ticket) -> bool {
         if !self.speed.is_measured() || self.running.is_empty() {
             return true;
         }
+        if ticket.tier == Tier::Order && self.serves_less_urgent() {
+            return true;
+        }
         let left = ticket.deadline.since(now);
         let own = self.speed.time_for(ticket.cost, 1);
         self.wait_of(now, ticket.tier).saturating_add(own) <= left
     }
 
+    fn serves_less_urgent(&self) -> bool {
+        self.queue.len() > self.queue.len_of(Tier::Order)
+            || self.running.values().any(|r| r.tier > Tier::Order)
+    }
+
     /// Predicts how long a new request of `tier` waits for a slot.
     fn wait_of(&self, now: Monotonic, tier: Tier) -> Duration {
         let ahead = self.queue.cost_ahead_of(tier);
--- a/crates/eelgrassramp/src/sidecar/state.rs
+++ b/crates/eelgrassramp/src/sidecar/state.rs
@@ -218,7 +218,8 @@
             brakes: Brakes::default(),
             split: None,
             outcomes: OutcomeTable::default(),
-            cache: CacheIndex::default(),
+            // Milliseconds grow faster than a cache changes, so numbers never repeat across lives.
+            cache: CacheIndex::new(started_unix_ms.saturating_mul(SEQS_PER_MS)),
             service_times: BTreeMap::new(),
             version: settings.version.clone(),
             fence: Fence::default(),
@@ -291,6 +292,9 @@
     }
 }
 
+/// Cache changes in a millisecond, at most.
+const SEQS_PER_MS: u64 = 1_000;
+
 /// Largest service time that is told apart, in microseconds.
 const MAX_SERVICE_TIME_US: u64 = 3_600_000_000;
 
--- a/crates/eelgrassramp/src/sidecar/upkeep.rs
+++ b/crates/eelgrassramp/src/sidecar/upkeep.rs
@@ -24,6 +24,12 @@
 /// Period of questions to the engine.
 const POLL_PERIOD: Duration = Duration::from_millis(500);
 
+/// Polls between two readings of the whole cache, which mend what lost events left behind.
+const POLLS_PER_WHOLE: u64 = 120;
+
+/// A position that no engine has reached, so that it answers with the whole cache.
+const UNKNOWN_SEQ: u64 = u64::MAX;
+
 /// Greatest lag of the engine's report, within which its version may be outdated.
 const MAX_REPORT_LAG: Duration = Duration::from_secs(10);
 
@@ -75,11 +81,12 @@
 }
 
 async fn poll(shared: Weak<Shared>, mut ticks: Ticks) {
-    loop {
+    for turn in 0_u64.. {
         let Some(shared) = shared.upgrade() else {
             return;
         };
-        if let Err(e) = ask_engine(&shared).await {
+        let wants_whole = turn % POLLS_PER_WHOLE == 0;
+        if let Err(e) = ask_engine(&shared, wants_whole).await {
             debug!(shared.cx.log, "engine not asked"; "error" => %e);
         }
         drop(shared);
@@ -122,12 +129,18 @@
 }
 
 /// Reads the engine's load and cache events.
-async fn ask_engine(shared: &Arc<Shared>) -> Result<()> {
+async fn ask_engine(shared: &Arc<Shared>, wants_whole: bool) -> Result<()> {
     let load = shared.engine.load().await?;
     take_load(shared, &load);
-    let seq = shared.lock().cache.seq();
+    let seq = if wants_whole {
+        UNKNOWN_SEQ
+    } else {
+        shared.lock().cache.engine_seq()
+    };
     let update = shared.engine.cache_events(seq).await?;
-    shared.lock().cache.apply(update);
+    if update.whole || !wants_whole {
+        shared.lock().cache.apply(update);
+    }
     Ok(())
 }
 
--- a/crates/eelgrassramp/tests/sidecar_scheduler.rs
+++ b/crates/eelgrassramp/tests/sidecar_scheduler.rs
@@ -119,6 +119,17 @@
     expect_that!(hopeful, elements_are![eq(&started(3))]);
 }
 
+#[googletest::test]
+fn an_order_is_not_refused_on_a_prediction_while_less_urgent_work_runs() {
+    let mut scheduler = scheduler();
+    scheduler.measure(50, Duration::from_secs(1));
+    scheduler.offer(at(0), ticket(1, Tier::Draft, FAR_MS), 10);
+
+    let order = scheduler.offer(at(0), ticket(2, Tier::Order, 900), 10);
+
+    expect_that!(order, elements_are![eq(&started(2))]);
+}
+
 #[googletest::test]
 fn an_idle_endpoint_takes_a_request_even_if_it_was_slow() {
     let mut scheduler = scheduler();
