--- a/crates/eelgrassramp/tests/model_check/main.rs
+++ b/crates/eelgrassramp/tests/model_check/main.rs
@@ -44,7 +44,7 @@
 fn each_rule_of_the_ledger_is_needed() {
     for mutation in Mutation::BREAKING {
         let found = explore(
-            RequestWorld::new(mutation, mutation.entries()),
+            &RequestWorld::new(mutation, mutation.entries()),
             REQUEST_DEPTH,
         );
 
