Ledger notes are bounded; the whole cache is asked for within the signed range

Cause: each copy of a refused dispatch added a note to the queue of ended requests, so memory followed the rate of copies; and the first whole reading of the cache used the largest number, on which the stand-in engine overflowed (crates/standins experiment test, panic in telemetry.rs). Change: notes that were overtaken are sorted out, copies add none; the position asked for lies in the signed range and the stand-in saturates. Conclusion: tests/ledger.rs covers both rules of the notes.

--- a/crates/eelgrassramp/src/ledger/book.rs
+++ b/crates/eelgrassramp/src/ledger/book.rs
@@ -28,6 +28,9 @@
 use super::request::Revoked;
 use super::request::Verdict;
 
+/// Overtaken notes that are kept before they are sorted out.
+const MAX_SPARE_NOTES: usize = 64;
+
 /// Remembers every request that one life of a sidecar was asked to run.
 ///
 /// A request is remembered while it waits or runs, and for the retention after it ended. A
@@ -92,6 +95,12 @@
         self.len() == 0
     }
 
+    /// Returns the number of notes on beginnings of retentions, for bounds on memory.
+    #[must_use]
+    pub fn notes(&self) -> usize {
+        self.ended.len() + self.ended_with_key.len() + self.closed_keys.len()
+    }
+
     /// Decides what a dispatch leads to, and records it.
     ///
     /// `outside` is the verdict of everything but the ledger, such as the tables and the
@@ -225,6 +234,22 @@
         }
     }
 
+    /// Notes that the retention of a request begins anew.
+    ///
+    /// Notes that were overtaken by later ones are dropped once they outnumber the entries,
+    /// so that the notes are bounded as well.
+    fn note_end(&mut self, at: Monotonic, request: RequestId) {
+        self.ended.push_back(Ended::new(at, request));
+        if self.ended.len() > 2 * self.entries.len() + MAX_SPARE_NOTES {
+            let entries = &self.entries;
+            self.ended.retain(|e| {
+                entries
+                    .get(&e.id)
+                    .is_some_and(|entry| entry.ended_at == e.at)
+            });
+        }
+    }
+
     fn forget(&mut self, ended: Ended) {
         let Slot::Occupied(slot) = self.entries.entry(ended.id) else {
             return;
@@ -253,10 +278,12 @@
         match self.entries.entry(claim.request) {
             Slot::Occupied(mut slot) => {
                 let entry = slot.get_mut();
-                if entry.state.is_not_run() {
+                let is_later =
+                    claim.attempt > entry.attempt || claim.mark > Self::mark(entry.ended_at);
+                if entry.state.is_not_run() && is_later {
                     entry.attempt = entry.attempt.max(claim.attempt);
                     entry.ended_at = now;
-                    self.ended.push_back(Ended::new(now, claim.request));
+                    self.note_end(now, claim.request);
                 }
             }
             Slot::Vacant(_) if is_full => self.refuse_marks_through(claim.mark),
@@ -267,7 +294,7 @@
                     state: State::Ended(Ending::NotRun(kind)),
                     ended_at: now,
                 });
-                self.ended.push_back(Ended::new(now, claim.request));
+                self.note_end(now, claim.request);
             }
         }
     }
@@ -320,7 +347,7 @@
             ended_at: now,
         };
         self.entries.insert(claim.request, entry);
-        self.ended.push_back(Ended::new(now, claim.request));
+        self.note_end(now, claim.request);
         Ok(())
     }
 
@@ -336,7 +363,7 @@
             ended_at: now,
         };
         self.entries.insert(request, entry);
-        self.ended.push_back(Ended::new(now, request));
+        self.note_end(now, request);
     }
 
     fn set_revoked(&mut self, now: Monotonic, request: RequestId) {
@@ -361,6 +388,6 @@
         if let Some(key) = entry.key.take() {
             self.keys.remove(&key);
         }
-        self.ended.push_back(ended);
+        self.note_end(now, request);
     }
 }
--- a/crates/eelgrassramp/src/sidecar/upkeep.rs
+++ b/crates/eelgrassramp/src/sidecar/upkeep.rs
@@ -27,8 +27,9 @@
 /// Polls between two readings of the whole cache, which mend what lost events left behind.
 const POLLS_PER_WHOLE: u64 = 120;
 
-/// A position that no engine has reached, so that it answers with the whole cache.
-const UNKNOWN_SEQ: u64 = u64::MAX;
+/// A position that no engine has reached, so that it answers with the whole cache; half of the
+/// range, since some JSON readers hold numbers with a sign.
+const UNKNOWN_SEQ: u64 = u64::MAX >> 1;
 
 /// Greatest lag of the engine's report, within which its version may be outdated.
 const MAX_REPORT_LAG: Duration = Duration::from_secs(10);
--- a/crates/eelgrassramp/tests/ledger.rs
+++ b/crates/eelgrassramp/tests/ledger.rs
@@ -14,6 +14,7 @@
 use eelgrassramp::ledger::KeyClaim;
 use eelgrassramp::ledger::Ledger;
 use eelgrassramp::ledger::Limits;
+use eelgrassramp::ledger::Refusal;
 use eelgrassramp::ledger::Verdict;
 use eelgrassramp::wire::ClaimKey;
 use eelgrassramp::wire::KeyReply;
@@ -208,6 +209,38 @@
     expect_that!(revoked.reply, eq(RevokeReply::Forgotten));
 }
 
+#[googletest::test]
+fn a_refusal_of_a_later_attempt_is_remembered_from_its_own_time() {
+    let mut ledger = ledger(10);
+    let outside = || Err(Refusal::not_run(Kind::Draining, "leaving"));
+    let first = claim(1, 0);
+    let later = Claim {
+        attempt: Attempt(1),
+        ..claim(1, 800)
+    };
+    ledger.accept(at(0), &first, outside());
+    ledger.accept(at(800), &later, outside());
+
+    let copy = ledger.accept(at(RETENTION_MS + 500), &later, Ok(()));
+
+    expect_that!(refusal(&copy), some(eq((Kind::Draining, Ran::No))));
+}
+
+#[googletest::test]
+fn copies_and_repeated_revocations_take_no_memory() {
+    let mut ledger = ledger(10);
+    let mut sizes = Vec::new();
+
+    for ms in 0..RETENTION_MS {
+        ledger.revoke(at(ms), &revoke(1, ms));
+        ledger.accept(at(ms), &claim(1, ms), Ok(()));
+        sizes.push(ledger.notes());
+    }
+
+    expect_that!(ledger.len(), eq(1));
+    expect_that!(sizes, each(le(&100)));
+}
+
 /// One random message to a ledger.
 #[derive(Debug, Clone)]
 enum Op {
--- a/crates/standins/src/engine/telemetry.rs
+++ b/crates/standins/src/engine/telemetry.rs
@@ -95,7 +95,7 @@
     /// Returns the changes after `seq`, or `None` when the log no longer reaches back so far.
     pub(super) fn after(&self, now: Monotonic, seq: u64) -> Option<CacheUpdate> {
         let oldest = self.log.front().map_or(self.last_seq + 1, |e| e.seq);
-        if seq + 1 < oldest || seq > self.last_seq {
+        if seq.saturating_add(1) < oldest || seq > self.last_seq {
             return None;
         }
         let mut update = CacheUpdate {
