Accepted tables are handed to sidecars; status of endpoints; spreading measured

When the store went away in the moment of the write, no watcher could have read the tables, so the tool now hands them to three sidecars of each failure domain.

--- a/crates/eelgrassramp/src/tables.rs
+++ b/crates/eelgrassramp/src/tables.rs
@@ -1,5 +1,6 @@
 //! The two tables that operators edit: routes and pools, joined by name.
 
+mod announce;
 mod apply;
 mod check;
 mod current;
@@ -12,6 +13,9 @@
 mod spread;
 mod unique;
 
+pub use self::announce::ANNOUNCE_PER_DOMAIN;
+pub use self::announce::Announced;
+pub use self::announce::announce;
 pub use self::apply::APPLY_TIMEOUT;
 pub use self::apply::Applied;
 pub use self::apply::Applier;
--- a/crates/eelgrassramp/src/tables/spread/core.rs
+++ b/crates/eelgrassramp/src/tables/spread/core.rs
@@ -29,6 +29,7 @@
 pub const BOOTSTRAP_ROUNDS: u32 = 2;
 
 const FORGET_AFTER: Duration = Duration::from_mins(5);
+const FORGET_PERIOD: Duration = Duration::from_mins(1);
 
 /// What the core is told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -89,6 +90,17 @@
     pushing: bool,
 }
 
+impl Peer {
+    /// Plans to hand tables over after a random wait, unless that is planned already.
+    fn plan_push(&mut self, now: Monotonic, rng: &mut impl Rng) -> Option<Monotonic> {
+        if self.push_at.is_some() || self.pushing {
+            return None;
+        }
+        self.push_at = Some(push_time(now.max(self.not_before), rng));
+        self.push_at
+    }
+}
+
 /// The decisions of one process about spreading tables.
 #[derive(Debug)]
 pub struct SpreadCore {
@@ -101,6 +113,11 @@
     contact_not_before: Monotonic,
     fetching: Option<SocketAddr>,
     pushes: usize,
+    /// The newest version that any process was seen to know.
+    newest_seen: TableVersion,
+    /// The earliest time at which a transfer to another process is due.
+    next_push_at: Option<Monotonic>,
+    forgot_at: Monotonic,
 }
 
 impl SpreadCore {
@@ -117,6 +134,9 @@
             contact_not_before: Monotonic::ZERO,
             fetching: None,
             pushes: 0,
+            newest_seen: version,
+            next_push_at: None,
+            forgot_at: Monotonic::ZERO,
         }
     }
 
@@ -162,16 +182,21 @@
 
     fn see(&mut self, now: Monotonic, from: SocketAddr, version: TableVersion, rng: &mut impl Rng) {
         let ours = self.version;
+        self.newest_seen = self.newest_seen.max(version);
         let peer = self.peer(now, from);
         peer.version = version;
         peer.seen = now;
         if version >= ours {
             peer.push_at = None;
-        } else if peer.push_at.is_none() && !peer.pushing {
-            peer.push_at = Some(push_time(now.max(peer.not_before), rng));
+        } else if let Some(at) = peer.plan_push(now, rng) {
+            self.note_push(at);
         }
     }
 
+    fn note_push(&mut self, at: Monotonic) {
+        self.next_push_at = Some(self.next_push_at.map_or(at, |next| next.min(at)));
+    }
+
     fn adopt(
         &mut self,
         now: Monotonic,
@@ -189,10 +214,10 @@
             // The others are about to hear it the same way; who is still behind shows later.
             return;
         }
-        for peer in self.peers.values_mut() {
-            if peer.version < version && peer.push_at.is_none() && !peer.pushing {
-                peer.push_at = Some(push_time(now.max(peer.not_before), rng));
-            }
+        let behind = self.peers.values_mut().filter(|p| p.version < version);
+        let planned: Vec<Monotonic> = behind.filter_map(|p| p.plan_push(now, rng)).collect();
+        for at in planned {
+            self.note_push(at);
         }
     }
 
@@ -222,6 +247,10 @@
     }
 
     fn forget(&mut self, now: Monotonic) {
+        if now.since(self.forgot_at) < FORGET_PERIOD {
+            return;
+        }
+        self.forgot_at = now;
         self.peers
             .retain(|_, peer| peer.pushing || now.since(peer.seen) < FORGET_AFTER);
     }
@@ -236,6 +265,9 @@
     }
 
     fn newest_peer(&self, now: Monotonic) -> Option<SocketAddr> {
+        if self.newest_seen <= self.version {
+            return None;
+        }
         self.peers
             .iter()
             .filter(|(_, peer)| peer.version > self.version && peer.not_before <= now)
@@ -257,20 +289,24 @@
     }
 
     fn begin_pushes(&mut self, now: Monotonic, actions: &mut Vec<SpreadAction>) {
-        if self.version == TableVersion(0) {
+        let is_due = self.next_push_at.is_some_and(|at| at <= now);
+        if !is_due || self.version == TableVersion(0) {
             return;
         }
+        self.next_push_at = None;
+        let mut waiting = None;
         for (to, peer) in &mut self.peers {
-            if self.pushes >= MAX_PUSHES {
-                return;
-            }
-            if peer.push_at.is_some_and(|at| at <= now) {
-                peer.push_at = None;
-                peer.pushing = true;
-                self.pushes += 1;
-                actions.push(SpreadAction::Push { to: *to });
+            let Some(at) = peer.push_at else { continue };
+            if at > now || self.pushes >= MAX_PUSHES {
+                waiting = Some(waiting.map_or(at, |next: Monotonic| next.min(at)));
+                continue;
             }
+            peer.push_at = None;
+            peer.pushing = true;
+            self.pushes += 1;
+            actions.push(SpreadAction::Push { to: *to });
         }
+        self.next_push_at = waiting;
     }
 
     fn peer(&mut self, now: Monotonic, addr: SocketAddr) -> &mut Peer {
--- a/crates/programs/src/ctl.rs
+++ b/crates/programs/src/ctl.rs
@@ -5,6 +5,7 @@
 mod failure;
 mod output;
 mod settings;
+mod status;
 mod tables;
 
 use std::process::ExitCode;
@@ -41,6 +42,7 @@
 async fn run(matches: &ArgMatches) -> Result<(), Failure> {
     match matches.subcommand() {
         Some(("tables", m)) => tables::run(m).await,
+        Some(("status", m)) => status::run(m).await,
         _ => Err(Failure::usage("no such command")),
     }
 }
--- a/crates/programs/src/ctl/command.rs
+++ b/crates/programs/src/ctl/command.rs
@@ -34,6 +34,19 @@
         .arg_required_else_help(true)
         .args([settings(), store(), output()])
         .subcommand(tables())
+        .subcommand(status())
+}
+
+fn status() -> Command {
+    Command::new("status")
+        .about("Shows what every endpoint does")
+        .arg(
+            Arg::new("sidecar")
+                .long("sidecar")
+                .value_name("ADDRESS")
+                .help("Read the tables from this sidecar, while the object API is away")
+                .value_parser(value_parser!(SocketAddr)),
+        )
 }
 
 fn tables() -> Command {
@@ -87,6 +100,12 @@
                 .help("Settle an earlier edit whose outcome is not known")
                 .value_parser(value_parser!(RequestId)),
         )
+        .arg(
+            Arg::new("no-announce")
+                .long("no-announce")
+                .help("Do not hand the accepted tables to some sidecars")
+                .action(ArgAction::SetTrue),
+        )
 }
 
 fn get() -> Command {
--- a/crates/programs/src/ctl/output.rs
+++ b/crates/programs/src/ctl/output.rs
@@ -1,5 +1,6 @@
 //! Tables for terminals and JSON for scripts.
 
+use clap::ArgMatches;
 use clap::ValueEnum;
 use clap::builder::PossibleValue;
 use comfy_table::ContentArrangement;
@@ -31,6 +32,11 @@
     }
 }
 
+/// Returns the form that the operator asked for.
+pub(super) fn output(m: &ArgMatches) -> Output {
+    m.get_one("output").copied().unwrap_or(Output::Table)
+}
+
 /// Prints `value` as JSON over several lines.
 pub(super) fn print_json(value: &impl Serialize) -> Result<(), Failure> {
     let text = serde_json::to_string_pretty(value)
--- a/crates/programs/src/ctl/tables.rs
+++ b/crates/programs/src/ctl/tables.rs
@@ -14,7 +14,7 @@
 use eelgrassramp::tables::Fault;
 
 use super::failure::Failure;
-use super::output::Output;
+use super::output::output;
 use crate::Exit;
 
 /// Runs the subcommand that `m` names.
@@ -29,10 +29,6 @@
     }
 }
 
-fn output(m: &ArgMatches) -> Output {
-    m.get_one("output").copied().unwrap_or(Output::Table)
-}
-
 fn path(m: &ArgMatches) -> Result<&PathBuf, Failure> {
     m.get_one("file").ok_or_else(|| Failure::usage("no file"))
 }
--- a/crates/programs/src/ctl/tables/apply.rs
+++ b/crates/programs/src/ctl/tables/apply.rs
@@ -1,14 +1,20 @@
 //! `tables apply`: puts a file in force.
 
+use std::sync::Arc;
+
 use clap::ArgMatches;
 use eelgrassramp::Kind;
 use eelgrassramp::RequestId;
 use eelgrassramp::TableVersion;
+use eelgrassramp::Timers;
+use eelgrassramp::link::HttpLink;
+use eelgrassramp::link::SidecarLink;
 use eelgrassramp::tables::Applied;
 use eelgrassramp::tables::ApplyError;
 use eelgrassramp::tables::Clash;
 use eelgrassramp::tables::NewEdit;
 use eelgrassramp::tables::Row;
+use eelgrassramp::tables::announce;
 use serde::Serialize;
 
 use super::super::connect;
@@ -35,7 +41,10 @@
         message: m.get_one("message").cloned().unwrap_or_default(),
     };
     match connect::applier(m)?.apply(&edit).await {
-        Ok(applied) => print(m, &edit, &applied),
+        Ok(applied) => {
+            print(m, &edit, &applied)?;
+            spread(m, &applied).await
+        }
         Err(ApplyError::Invalid(faults)) => Err(super::invalid(path, &faults)),
         Err(ApplyError::Clashes(clashes)) => Err(clash_failure(&clashes)),
         Err(ApplyError::Store(e)) if e.kind() == Kind::WriteUnsettled => {
@@ -78,6 +87,22 @@
     Ok(())
 }
 
+/// Hands the tables to some sidecars, so that they spread though the object API goes away.
+async fn spread(m: &ArgMatches, applied: &Applied) -> Result<(), Failure> {
+    if !applied.changed || m.get_flag("no-announce") {
+        return Ok(());
+    }
+    let timers = Timers::start();
+    let link: Arc<dyn SidecarLink> = Arc::new(HttpLink::new(timers.clone()));
+    let tables = applied.document.to_tables(applied.version)?;
+    let announced = announce(&tables, &link, &timers, &mut rand::rng()).await?;
+    if super::output(m) == Output::Table {
+        let all = announced.taken + announced.failed;
+        println!("handed to {} of {all} sidecars asked", announced.taken);
+    }
+    Ok(())
+}
+
 /// Names every clash with both values.
 pub(super) fn clash_failure(clashes: &[Clash]) -> Failure {
     let mut lines = vec!["not applied: another edit changed the same rows".to_owned()];
--- /dev/null
+++ b/crates/standins/tests/spread/world.rs
@@ -0,0 +1,394 @@
+//! Entries with the real store client, follower and spreading, before sidecars that only keep
+//! tables.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use eelgrassramp::Context;
+use eelgrassramp::Error;
+use eelgrassramp::Kind;
+use eelgrassramp::Monotonic;
+use eelgrassramp::RequestId;
+use eelgrassramp::TableVersion;
+use eelgrassramp::link::FrameStream;
+use eelgrassramp::link::LinkError;
+use eelgrassramp::link::SidecarLink;
+use eelgrassramp::membership::Follower;
+use eelgrassramp::store::Client;
+use eelgrassramp::store::ClientLimits;
+use eelgrassramp::store::Vm;
+use eelgrassramp::store::VmState;
+use eelgrassramp::tables::Applier;
+use eelgrassramp::tables::Current;
+use eelgrassramp::tables::Document;
+use eelgrassramp::tables::NewEdit;
+use eelgrassramp::tables::Spread;
+use eelgrassramp::tables::Tables;
+use eelgrassramp::tables::announce;
+use eelgrassramp::wire::Attach;
+use eelgrassramp::wire::Cancel;
+use eelgrassramp::wire::ClaimKey;
+use eelgrassramp::wire::Dispatch;
+use eelgrassramp::wire::EngineOrder;
+use eelgrassramp::wire::KeyReply;
+use eelgrassramp::wire::OrderReply;
+use eelgrassramp::wire::Report;
+use eelgrassramp::wire::ReportRequest;
+use eelgrassramp::wire::Revoke;
+use eelgrassramp::wire::RevokeReply;
+use eelgrassramp::wire::TablesSnapshot;
+use eelgrassramp_standins::platform::Platform;
+use eelgrassramp_standins::platform::Settings;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio_util::sync::CancellationToken;
+
+/// Time between two reports that an entry asks for; its budget of bytes allows four a second.
+const REPORT_PERIOD: Duration = Duration::from_millis(250);
+const SLOW_BY: Duration = Duration::from_secs(1);
+const LINK_LATENCY: Duration = Duration::from_millis(1);
+const GIVE_UP: Duration = Duration::from_mins(2);
+const CONTACTS: usize = 5;
+
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    pub entries: usize,
+    pub sidecars: usize,
+}
+
+/// What is wrong with the store around a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    Slow,
+    DownAfterAccept,
+    LostReply,
+    SilentWatches,
+}
+
+impl Fault {
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::None => "healthy store",
+            Self::Slow => "store slow by 1 s",
+            Self::DownAfterAccept => "store down right after accepting",
+            Self::LostReply => "reply lost after the write",
+            Self::SilentWatches => "all watches silent",
+        }
+    }
+}
+
+/// The sidecars' tables, reached in-process.
+#[derive(Debug)]
+struct Sidecars {
+    cx: Context,
+    tables: BTreeMap<SocketAddr, std::sync::Mutex<Arc<Current>>>,
+}
+
+impl Sidecars {
+    fn current(&self, addr: SocketAddr) -> Result<Arc<Current>, LinkError> {
+        let slot = self.tables.get(&addr).ok_or_else(away)?;
+        Ok(Arc::clone(&slot.lock().expect("no panic under the lock")))
+    }
+
+    fn restart(&self, addr: SocketAddr) {
+        let slot = &self.tables[&addr];
+        *slot.lock().expect("no panic under the lock") = Arc::default();
+    }
+}
+
+fn away() -> LinkError {
+    LinkError::NotSent(Error::new(Kind::ConnectFailed, "no such sidecar"))
+}
+
+#[async_trait]
+impl SidecarLink for Sidecars {
+    async fn tables(&self, to: SocketAddr) -> Result<TablesSnapshot, LinkError> {
+        self.cx.timers.after(LINK_LATENCY).await;
+        let tables = self.current(to)?.get();
+        Ok(tables.to_snapshot().expect("tables are JSON"))
+    }
+
+    async fn push_tables(&self, to: SocketAddr, msg: TablesSnapshot) -> Result<(), LinkError> {
+        self.cx.timers.after(LINK_LATENCY).await;
+        let current = self.current(to)?;
+        if msg.version > current.get().version {
+            current.offer(Tables::from_snapshot(&msg).expect("entries hand over valid tables"));
+        }
+        Ok(())
+    }
+
+    async fn dispatch(&self, _: SocketAddr, _: Dispatch) -> Result<FrameStream, LinkError> {
+        Err(away())
+    }
+
+    async fn attach(&self, _: SocketAddr, _: Attach) -> Result<FrameStream, LinkError> {
+        Err(away())
+    }
+
+    async fn revoke(&self, _: SocketAddr, _: Revoke) -> Result<RevokeReply, LinkError> {
+        Err(away())
+    }
+
+    async fn cancel(&self, _: SocketAddr, _: Cancel) -> Result<(), LinkError> {
+        Err(away())
+    }
+
+    async fn claim_key(&self, _: SocketAddr, _: ClaimKey) -> Result<KeyReply, LinkError> {
+        Err(away())
+    }
+
+    async fn report(&self, _: SocketAddr, _: ReportRequest) -> Result<Report, LinkError> {
+        Err(away())
+    }
+
+    async fn order(&self, _: SocketAddr, _: EngineOrder) -> Result<OrderReply, LinkError> {
+        Err(away())
+    }
+}
+
+struct Entry {
+    stop: CancellationToken,
+    current: Arc<Current>,
+    spread: Arc<Spread>,
+}
+
+pub struct World {
+    pub platform: Arc<Platform>,
+    cx: Context,
+    size: Size,
+    sidecars: Arc<Sidecars>,
+    entries: Vec<Entry>,
+    rng: StdRng,
+    accepted: TableVersion,
+    edits: u64,
+}
+
+impl World {
+    /// Starts a fleet with its first tables in force everywhere.
+    pub async fn start(seed: u64, size: Size) -> Self {
+        let cx = Context::quiet(seed);
+        let platform = Platform::new(Settings::default(), cx.timers.clone());
+        let tables = (0..size.sidecars).map(|i| (sidecar_address(i), std::sync::Mutex::default()));
+        let sidecars = Arc::new(Sidecars {
+            cx: cx.clone(),
+            tables: tables.collect(),
+        });
+        let mut world = Self {
+            platform,
+            cx,
+            size,
+            sidecars,
+            entries: Vec::new(),
+            rng: StdRng::seed_from_u64(seed),
+            accepted: TableVersion(0),
+            edits: 0,
+        };
+        world.platform.set_vms(world.vms());
+        for _ in 0..size.entries {
+            let entry = world.entry();
+            world.entries.push(entry);
+        }
+        world.apply().await;
+        world.wait_in_force().await;
+        world
+    }
+
+    /// Makes one change under `fault` and returns the times from the operator's command until
+    /// each process had it in force.
+    pub async fn change(&mut self, fault: Fault) -> Vec<Duration> {
+        let at_random = Duration::from_millis(self.rng.random_range(0..30_000));
+        self.wait(at_random).await;
+        match fault {
+            Fault::Slow => self.platform.set_faults(|f| f.delay = SLOW_BY),
+            Fault::LostReply => self.platform.set_faults(|f| f.lost_replies = 2),
+            Fault::SilentWatches => {
+                self.platform.set_faults(|f| f.silent_watches = true);
+                self.wait(Duration::from_secs(25)).await;
+            }
+            // No watcher hears of the write before the store is away.
+            Fault::DownAfterAccept => self.platform.set_faults(|f| f.silent_watches = true),
+            Fault::None => {}
+        }
+        let commanded = self.cx.timers.now();
+        let tables = self.apply().await;
+        if fault == Fault::DownAfterAccept {
+            self.platform.set_faults(|f| f.outage = true);
+        }
+        let link: Arc<dyn SidecarLink> = Arc::clone(&self.sidecars) as _;
+        let announced = announce(&tables, &link, &self.cx.timers, &mut self.rng);
+        announced.await.expect("tables are JSON");
+        self.watch_in_force(commanded).await
+    }
+
+    pub const fn accepted(&self) -> TableVersion {
+        self.accepted
+    }
+
+    /// Replaces a random process by a fresh one that knows nothing.
+    pub async fn restart_one(&mut self) {
+        let i = self
+            .rng
+            .random_range(0..self.size.entries + self.size.sidecars);
+        if i < self.size.entries {
+            self.entries[i].stop.cancel();
+            self.entries[i] = self.entry();
+        } else {
+            self.sidecars
+                .restart(sidecar_address(i - self.size.entries));
+        }
+        tokio::task::yield_now().await;
+    }
+
+    pub async fn wait(&self, d: Duration) {
+        self.cx.timers.after(d).await;
+    }
+
+    /// Returns the versions of all processes.
+    pub fn versions(&self) -> Vec<TableVersion> {
+        let entries = self.entries.iter().map(|e| e.current.get().version);
+        let sidecars = self.sidecars.tables.keys();
+        let sidecars = sidecars.map(|a| self.sidecars.current(*a).expect("it exists"));
+        entries.chain(sidecars.map(|c| c.get().version)).collect()
+    }
+
+    /// Returns the versions of the entries that serve callers.
+    pub fn ready_versions(&self) -> Vec<TableVersion> {
+        let ready = self.entries.iter().filter(|e| e.spread.is_ready());
+        ready.map(|e| e.current.get().version).collect()
+    }
+
+    /// Returns the calls that the platform counted so far.
+    pub fn calls(&self) -> u64 {
+        self.platform.calls().iter().map(|c| c.calls).sum()
+    }
+
+    pub fn stop(&self) {
+        for entry in &self.entries {
+            entry.stop.cancel();
+        }
+    }
+
+    async fn apply(&mut self) -> Tables {
+        self.edits += 1;
+        let api = self.platform.client("ctl");
+        let applier = Applier::new(api, self.cx.timers.clone());
+        let edit = NewEdit {
+            document: document(self.size, self.edits),
+            base: None,
+            id: RequestId::random(&mut self.rng),
+            at: jiff::Timestamp::UNIX_EPOCH,
+            message: String::new(),
+        };
+        let done = applier.apply(&edit).await.expect("the edit is valid");
+        self.accepted = done.version;
+        done.document
+            .to_tables(done.version)
+            .expect("the edit is valid")
+    }
+
+    async fn wait_in_force(&self) {
+        self.watch_in_force(self.cx.timers.now()).await;
+    }
+
+    async fn watch_in_force(&self, since: Monotonic) -> Vec<Duration> {
+        let mut times = vec![None; self.size.entries + self.size.sidecars];
+        while times.iter().any(Option::is_none) {
+            let elapsed = self.cx.timers.now().since(since);
+            assert!(
+                elapsed < GIVE_UP,
+                "not in force everywhere: {:?}",
+                self.versions()
+            );
+            for (time, version) in times.iter_mut().zip(self.versions()) {
+                if version >= self.accepted {
+                    time.get_or_insert(elapsed);
+                }
+            }
+            self.wait(Duration::from_millis(10)).await;
+        }
+        times.into_iter().flatten().collect()
+    }
+
+    fn entry(&mut self) -> Entry {
+        let mut cx = self.cx.clone();
+        cx.stop = CancellationToken::new();
+        cx.seed = Some(self.rng.random());
+        let current = Arc::new(Current::default());
+        let link: Arc<dyn SidecarLink> = Arc::clone(&self.sidecars) as _;
+        let contacts = (0..CONTACTS)
+            .map(|_| sidecar_address(self.rng.random_range(0..self.size.sidecars)))
+            .collect();
+        let spread = Spread::start(&cx, Arc::clone(&current), link, contacts);
+        let api = Client::new(&cx, self.platform.client("entry"), ClientLimits::default());
+        let _follower = Follower::start(&cx, Arc::new(api), Arc::clone(&current));
+        let reports = ask_reports(cx.clone(), Arc::clone(&self.sidecars), Arc::clone(&spread));
+        tokio::spawn(cx.stop.clone().run_until_cancelled_owned(reports));
+        Entry {
+            stop: cx.stop,
+            current,
+            spread,
+        }
+    }
+
+    fn vms(&self) -> Vec<Vm> {
+        let entries = (0..self.size.entries).map(|i| address(1, i));
+        let sidecars = (0..self.size.sidecars).map(sidecar_address);
+        let all = entries.chain(sidecars);
+        all.map(|addr| Vm {
+            address: addr.ip(),
+            port: addr.port(),
+            state: VmState::Live,
+        })
+        .collect()
+    }
+}
+
+/// Sees the tables of one random sidecar after the other, as reports tell them.
+async fn ask_reports(cx: Context, sidecars: Arc<Sidecars>, spread: Arc<Spread>) {
+    let mut rng = cx.rng("reports");
+    let addresses: Vec<SocketAddr> = sidecars.tables.keys().copied().collect();
+    loop {
+        cx.timers.after(REPORT_PERIOD).await;
+        let addr = addresses[rng.random_range(0..addresses.len())];
+        if let Ok(current) = sidecars.current(addr) {
+            spread.observe(addr, current.get().version);
+        }
+    }
+}
+
+fn sidecar_address(i: usize) -> SocketAddr {
+    address(2, i)
+}
+
+fn address(net: u8, i: usize) -> SocketAddr {
+    let [_, _, high, low] = u32::try_from(i).expect("a small number").to_be_bytes();
+    SocketAddr::from(([10, net, high, low], 7000))
+}
+
+/// Tables with one pool of `size` sidecars in three failure domains; `edit` sets a timeout.
+fn document(size: Size, edit: u64) -> Document {
+    let endpoints: Vec<serde_json::Value> = (0..size.sidecars)
+        .map(|i| {
+            serde_json::json!({
+                "name": format!("greeting-{i}"), "sidecar": sidecar_address(i),
+                "domain": (["a", "b", "c"][i % 3]), "hardware": "gen3", "version": "v1",
+            })
+        })
+        .collect();
+    let tables = serde_json::json!({
+        "routes": [{
+            "name": "greeting", "path": "/v1/chat/completions", "tier": "interactive",
+            "pool": "greeting", "timeout_ms": 1000 + edit, "max_body_bytes": 65536,
+        }],
+        "pools": [{
+            "name": "greeting", "kind": "model", "version": "v1", "fencing": "sidecar",
+            "endpoints": endpoints,
+        }],
+    });
+    Document::from_jsonc(&tables.to_string(), "generated").expect("the tables are valid")
+}
