--- a/crates/eelgrassramp/src/sidecar/service.rs
+++ b/crates/eelgrassramp/src/sidecar/service.rs
@@ -87,7 +87,7 @@
         store: Option<Arc<dyn ObjectApi>>,
         cx: Context,
     ) -> Self {
-        let state = new_state(&settings);
+        let state = new_state(&settings, &cx);
         let shared = Arc::new(Shared {
             engine,
             store,
@@ -392,10 +392,10 @@
     }
 }
 
-fn new_state(settings: &Settings) -> State {
+fn new_state(settings: &Settings, cx: &Context) -> State {
     // Drawn from the system even in repeatable runs, since a restart must never reuse it.
     let incarnation = Incarnation::random(&mut rand::make_rng::<StdRng>());
-    let started_unix_ms = u64::try_from(jiff::Timestamp::now().as_millisecond()).unwrap_or(0);
+    let started_unix_ms = u64::try_from(cx.timers.wall_now().as_millisecond()).unwrap_or(0);
     let capacity = Capacity {
         slots: settings.slots,
         queue: settings.queue_limits(),
