--- /dev/null
+++ b/crates/eelgrassramp/tests/membership.rs
@@ -0,0 +1,119 @@
+//! Who takes part, and who reads on behalf of the others.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eelgrassramp::Incarnation;
+use eelgrassramp::Monotonic;
+use eelgrassramp::TableVersion;
+use eelgrassramp::membership::Duty;
+use eelgrassramp::membership::DutyRole;
+use eelgrassramp::membership::LIST_LAG;
+use eelgrassramp::membership::Membership;
+use eelgrassramp::store::Vm;
+use eelgrassramp::store::VmState;
+use eelgrassramp::tables::Document;
+use eelgrassramp::tables::Tables;
+use googletest::prelude::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const MUG_PRINTS: &str = include_str!("../../../examples/mug-prints.jsonc");
+const SIDECAR: &str = "127.0.0.1:7101";
+
+fn tables() -> Tables {
+    let document = Document::from_jsonc(MUG_PRINTS, "example").expect("well-formed");
+    document.to_tables(TableVersion(1)).expect("valid")
+}
+
+fn vm(addr: &str, state: VmState) -> Vm {
+    let addr: SocketAddr = addr.parse().expect("an address");
+    Vm {
+        address: addr.ip(),
+        port: addr.port(),
+        state,
+    }
+}
+
+fn sidecar() -> SocketAddr {
+    SIDECAR.parse().expect("an address")
+}
+
+fn names(membership: &Membership, now: Monotonic) -> Vec<String> {
+    let leaving = membership.leaving(now, &tables());
+    leaving.iter().map(|l| l.endpoint.to_string()).collect()
+}
+
+#[googletest::test]
+fn listed_endpoint_is_leaving_until_the_list_says_otherwise() {
+    let mut membership = Membership::new();
+    let now = Monotonic::from_millis(1_000);
+
+    membership.note_vms(now, &[vm(SIDECAR, VmState::Leaving)]);
+    let listed = names(&membership, now);
+    membership.note_vms(now, &[vm(SIDECAR, VmState::Live)]);
+
+    expect_that!(listed, elements_are![eq("greeting-1")]);
+    expect_that!(names(&membership, now), is_empty());
+    expect_that!(membership.staleness(now + LIST_LAG), some(eq(LIST_LAG)));
+}
+
+#[googletest::test]
+fn replaced_vm_is_not_taken_for_the_one_that_left() {
+    let mut membership = Membership::new();
+    let now = Monotonic::from_millis(1_000);
+    membership.note_life(now, sidecar(), Incarnation(1));
+    membership.note_vms(now, &[vm(SIDECAR, VmState::Leaving)]);
+
+    let is_replaced = membership.note_life(now, sidecar(), Incarnation(2));
+    let in_lag = names(&membership, now);
+    let after_lag = names(&membership, now + LIST_LAG);
+
+    expect_that!(is_replaced, eq(true));
+    expect_that!(in_lag, is_empty());
+    expect_that!(after_lag, elements_are![eq("greeting-1")]);
+}
+
+#[googletest::test]
+fn entries_are_the_live_vms_that_are_no_endpoints() {
+    let mut membership = Membership::new();
+    let list = [
+        vm(SIDECAR, VmState::Live),
+        vm("127.0.0.1:7001", VmState::Live),
+        vm("127.0.0.1:7002", VmState::Live),
+        vm("127.0.0.1:7003", VmState::Leaving),
+    ];
+
+    membership.note_vms(Monotonic::ZERO, &list);
+
+    expect_that!(membership.entries(&tables()), eq(2));
+}
+
+#[googletest::test]
+fn about_twelve_of_any_fleet_have_a_duty_at_every_moment() {
+    for fleet in [20, 100, 360, 2_000] {
+        let mut rng = StdRng::seed_from_u64(5);
+        let duties: Vec<Duty> = (0..fleet)
+            .map(|_| Duty::new(rng.random(), DutyRole::Watcher))
+            .collect();
+
+        let counts: Vec<usize> = (0..500)
+            .map(|minute| Monotonic::ZERO + Duration::from_mins(minute))
+            .map(|now| duties.iter().filter(|d| d.is_mine(now, fleet)).count())
+            .collect();
+
+        let mean = counts.iter().sum::<usize>() as f64 / 500.0;
+        expect_that!(mean, all![ge(11.0), le(13.0)], "fleet {fleet}");
+        expect_that!(counts.iter().min(), some(gt(&0)), "fleet {fleet}");
+        expect_that!(counts.iter().max(), some(lt(&32)), "fleet {fleet}");
+    }
+}
+
+#[googletest::test]
+fn small_fleet_has_the_duty_as_a_whole() {
+    let duty = Duty::new(3, DutyRole::Mover);
+
+    expect_that!(duty.is_mine(Monotonic::ZERO, 12), eq(true));
+    expect_that!(duty.is_mine(Monotonic::ZERO, 0), eq(true));
+}
