--- /dev/null
+++ b/crates/eelgrassramp/src/rollout/evidence.rs
@@ -0,0 +1,128 @@
+//! How strongly what was seen speaks against a version.
+//!
+//! Each test keeps cumulative sums of log likelihood ratios that never fall below zero, so
+//! that badness which begins late counts from where it begins. One window can add at most a
+//! third of the threshold, since failures within a window are rarely independent. For the
+//! error rate see `docs/design/rollout.md`, "Error rates".
+
+use std::ops::AddAssign;
+use std::ops::Sub;
+
+/// Longest watch for which the error rate is stated, in windows.
+const PLANNED_WINDOWS: f64 = 100_000.0;
+
+/// Most tests that run side by side in one move: routes times kinds of test.
+const PLANNED_TESTS: f64 = 24.0;
+
+/// Chance of taking back a good version over one whole move.
+const WRONG_TAKE_BACK: f64 = 0.005;
+
+/// Windows that a verdict needs at least.
+const LEAST_WINDOWS: f64 = 3.0;
+
+/// Alternatives of each test of failures.
+pub(super) const FAILURE_ALTERNATIVES: usize = 4;
+
+/// Alternatives of each test of slowness.
+pub(super) const SLOWNESS_ALTERNATIVES: usize = 3;
+
+/// Which of the tests found a version bad.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Badness {
+    /// A charge ran more than once.
+    Duplicated,
+    /// It fails more than the old version.
+    Failing,
+    /// It is slower than the old version.
+    Slow,
+}
+
+/// Log likelihood ratios of one window, by test and alternative.
+///
+/// Ratios of different routes may be added: each is fair for its own route whatever the mix of
+/// routes on either version.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(super) struct Ratios {
+    pub(super) failures: [f64; FAILURE_ALTERNATIVES],
+    pub(super) failures_alone: [f64; FAILURE_ALTERNATIVES],
+    pub(super) slowness: [f64; SLOWNESS_ALTERNATIVES],
+    pub(super) slowness_alone: [f64; SLOWNESS_ALTERNATIVES],
+}
+
+impl AddAssign for Ratios {
+    fn add_assign(&mut self, rhs: Self) {
+        add(&mut self.failures, rhs.failures);
+        add(&mut self.failures_alone, rhs.failures_alone);
+        add(&mut self.slowness, rhs.slowness);
+        add(&mut self.slowness_alone, rhs.slowness_alone);
+    }
+}
+
+impl Sub for Ratios {
+    type Output = Self;
+
+    fn sub(self, rhs: Self) -> Self {
+        Self {
+            failures: subtract(self.failures, rhs.failures),
+            failures_alone: subtract(self.failures_alone, rhs.failures_alone),
+            slowness: subtract(self.slowness, rhs.slowness),
+            slowness_alone: subtract(self.slowness_alone, rhs.slowness_alone),
+        }
+    }
+}
+
+/// The sums of all tests.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Evidence {
+    sums: Ratios,
+}
+
+impl Evidence {
+    /// Takes in one window.
+    pub(super) fn add(&mut self, window: &Ratios) {
+        cumulate(&mut self.sums.failures, window.failures);
+        cumulate(&mut self.sums.failures_alone, window.failures_alone);
+        cumulate(&mut self.sums.slowness, window.slowness);
+        cumulate(&mut self.sums.slowness_alone, window.slowness_alone);
+    }
+
+    /// Returns what the windows so far show.
+    pub(super) fn verdict(&self) -> Option<Badness> {
+        if is_bad(&self.sums.failures) || is_bad(&self.sums.failures_alone) {
+            return Some(Badness::Failing);
+        }
+        let slow = is_bad(&self.sums.slowness) || is_bad(&self.sums.slowness_alone);
+        slow.then_some(Badness::Slow)
+    }
+}
+
+/// Returns the sum of log likelihood ratios at which a version is bad.
+fn threshold() -> f64 {
+    (PLANNED_WINDOWS * PLANNED_TESTS / WRONG_TAKE_BACK).ln()
+}
+
+fn add<const N: usize>(sums: &mut [f64; N], added: [f64; N]) {
+    for (sum, added) in sums.iter_mut().zip(added) {
+        *sum += added;
+    }
+}
+
+fn subtract<const N: usize>(from: [f64; N], taken: [f64; N]) -> [f64; N] {
+    std::array::from_fn(|i| from[i] - taken[i])
+}
+
+fn cumulate<const N: usize>(sums: &mut [f64; N], window: [f64; N]) {
+    let most = threshold() / LEAST_WINDOWS;
+    for (sum, added) in sums.iter_mut().zip(window) {
+        *sum = (*sum + added.min(most)).max(0.0);
+    }
+}
+
+/// Tells whether the mean of the likelihood ratios is above the threshold.
+fn is_bad<const N: usize>(sums: &[f64; N]) -> bool {
+    if sums.iter().all(|s| *s < threshold()) {
+        return false;
+    }
+    let mixed: f64 = sums.iter().map(|s| s.exp()).sum();
+    (mixed / N as f64).ln() >= threshold()
+}
