--- a/crates/eelgrassramp/src/membership/shell.rs
+++ b/crates/eelgrassramp/src/membership/shell.rs
@@ -35,7 +35,7 @@
     cx: Context,
     api: Arc<dyn ObjectApi>,
     current: Arc<Current>,
-    duty: Duty,
+    seed: u64,
     membership: Mutex<Membership>,
     leaving: watch::Sender<Vec<LeavingEndpoint>>,
 }
@@ -49,7 +49,7 @@
             cx: cx.clone(),
             api,
             current,
-            duty: Duty::new(seed, DutyRole::Watcher),
+            seed,
             membership: Mutex::new(Membership::new()),
             leaving: watch::channel(Vec::new()).0,
         });
@@ -80,8 +80,14 @@
         self.lock().entries(&tables)
     }
 
+    /// Tells whether this process has a duty on behalf of the others now.
+    #[must_use]
+    pub fn has_duty(&self, role: DutyRole) -> bool {
+        Duty::new(self.seed, role).is_mine(self.cx.timers.now(), self.entries())
+    }
+
     fn is_on_duty(&self) -> bool {
-        self.duty.is_mine(self.cx.timers.now(), self.entries())
+        self.has_duty(DutyRole::Watcher)
     }
 
     /// Returns the time between two readings without the duty.
--- a/crates/programs/src/ctl.rs
+++ b/crates/programs/src/ctl.rs
@@ -3,6 +3,7 @@
 mod command;
 mod connect;
 mod failure;
+mod moves;
 mod output;
 mod settings;
 mod status;
@@ -42,6 +43,7 @@
 async fn run(matches: &ArgMatches) -> Result<(), Failure> {
     match matches.subcommand() {
         Some(("tables", m)) => tables::run(m).await,
+        Some(("moves", m)) => moves::run(m).await,
         Some(("status", m)) => status::run(m).await,
         _ => Err(Failure::usage("no such command")),
     }
--- a/crates/programs/src/ctl/command.rs
+++ b/crates/programs/src/ctl/command.rs
@@ -35,6 +35,19 @@
         .args([settings(), store(), output()])
         .subcommand(tables())
         .subcommand(status())
+        .subcommand(moves())
+}
+
+fn moves() -> Command {
+    Command::new("moves")
+        .about("Shows how far the moves to new versions have come")
+        .arg(
+            Arg::new("follow")
+                .long("follow")
+                .short('f')
+                .help("Show each change until all moves are over; fails when one was taken back")
+                .action(ArgAction::SetTrue),
+        )
 }
 
 fn status() -> Command {
--- a/crates/programs/tests/ctl_apply.rs
+++ b/crates/programs/tests/ctl_apply.rs
@@ -5,7 +5,9 @@
 use std::process::Output;
 use std::sync::Arc;
 
+use eelgrassramp::ObjectVersion;
 use eelgrassramp::Timers;
+use eelgrassramp::store::ObjectApi;
 use eelgrassramp_standins::http::serve;
 use eelgrassramp_standins::platform::FiredFault;
 use eelgrassramp_standins::platform::Platform;
@@ -17,6 +19,11 @@
 
 const MUG_PRINTS: &str = include_str!("../../../examples/mug-prints.jsonc");
 
+/// The example at addresses where nothing listens.
+fn mug_prints() -> String {
+    MUG_PRINTS.replace("127.0.0.1", "127.9.9.9")
+}
+
 struct Bench {
     platform: Arc<Platform>,
     address: SocketAddr,
@@ -84,7 +91,7 @@
 
 /// The example with the timeouts of the order and the greeting route changed.
 fn edited(order_ms: u64, greeting_ms: u64) -> String {
-    MUG_PRINTS
+    mug_prints()
         .replace(
             "\"timeout_ms\": 10000",
             &format!("\"timeout_ms\": {order_ms}"),
@@ -100,8 +107,8 @@
 async fn applied_tables_are_read_back_and_listed() {
     let bench = Bench::start("applied.jsonc").await;
 
-    let first = bench.apply(MUG_PRINTS, &["-m", "first tables"]).await;
-    let again = bench.apply(MUG_PRINTS, &[]).await;
+    let first = bench.apply(&mug_prints(), &["-m", "first tables"]).await;
+    let again = bench.apply(&mug_prints(), &[]).await;
     let history = bench.json(&["tables", "history"]).await;
 
     expect_that!(first.status.code(), some(eq(0)), "{}", stderr(&first));
@@ -115,7 +122,7 @@
 #[tokio::test]
 async fn edits_of_different_rows_on_one_base_are_merged() {
     let bench = Bench::start("merged.jsonc").await;
-    bench.apply(MUG_PRINTS, &[]).await;
+    bench.apply(&mug_prints(), &[]).await;
     let base = bench.json(&["tables", "get"]).await["version"].to_string();
 
     let one = bench
@@ -139,7 +146,7 @@
 #[tokio::test]
 async fn loser_of_a_conflict_is_told_what_clashed_with_both_values() {
     let bench = Bench::start("clash.jsonc").await;
-    bench.apply(MUG_PRINTS, &[]).await;
+    bench.apply(&mug_prints(), &[]).await;
     let base = bench.json(&["tables", "get"]).await["version"].to_string();
     bench
         .apply(&edited(11_000, 8_000), &["--base", &base])
@@ -165,7 +172,7 @@
 #[tokio::test]
 async fn edit_whose_reply_was_lost_is_settled_and_made_once() {
     let bench = Bench::start("lost.jsonc").await;
-    bench.apply(MUG_PRINTS, &[]).await;
+    bench.apply(&mug_prints(), &[]).await;
     bench.platform.set_faults(|f| f.lost_replies = 1);
 
     let out = bench.apply(&edited(11_000, 8_000), &[]).await;
@@ -196,7 +203,7 @@
 #[tokio::test]
 async fn diff_shows_rows_and_lines() {
     let bench = Bench::start("diff.jsonc").await;
-    bench.apply(MUG_PRINTS, &[]).await;
+    bench.apply(&mug_prints(), &[]).await;
     let path = bench.file(&edited(11_000, 8_000));
 
     let out = bench.ctl(&["tables", "diff", &path]).await;
@@ -211,3 +218,63 @@
         ]
     );
 }
+
+/// The progress of a move that was taken back, as the holder of a lease writes it.
+const TAKEN_BACK: &str = r#"{
+    "pool": "greeting", "tables": 1, "old": "v1", "new": "v2", "by": "2100-01-01T06:00:00Z",
+    "not_before": null, "fence": 3, "edit": { "high": 1, "low": 2 }, "phase": "taken_back",
+    "evidence": "7 of 9 requests failed", "late": null, "routes": [],
+    "began": "2026-12-01T06:00:00Z", "updated": "2026-12-01T06:10:00Z"
+}"#;
+
+#[googletest::test]
+#[tokio::test]
+async fn move_that_was_taken_back_is_shown_with_its_evidence() {
+    let bench = Bench::start("moves.jsonc").await;
+    let key = "moves/greeting";
+    let api = bench.platform.client("entry");
+    api.put(key, ObjectVersion(0), TAKEN_BACK.into())
+        .await
+        .expect("a healthy store");
+
+    let shown = bench.json(&["moves"]).await;
+    let followed = bench.ctl(&["moves", "--follow"]).await;
+
+    expect_that!(shown[0]["status"].as_str(), some(eq("taken back")));
+    expect_that!(followed.status.code(), some(eq(1)));
+    expect_that!(
+        stderr(&followed),
+        contains_substring("all traffic is on v1 again: 7 of 9 requests failed")
+    );
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn move_that_nobody_began_is_waiting() {
+    let bench = Bench::start("waiting.jsonc").await;
+    let wanted = "\"move\": { \"to\": \"v2\", \"by\": \"2100-01-01T06:00:00Z\" },\n\"fencing\"";
+    bench
+        .apply(
+            &mug_prints().replacen("\"fencing\"", wanted, 1),
+            &["--no-announce"],
+        )
+        .await;
+
+    let shown = bench.json(&["moves"]).await;
+
+    expect_that!(shown[0]["pool"].as_str(), some(eq("greeting")));
+    expect_that!(shown[0]["status"].as_str(), some(eq("waiting")));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn status_names_endpoints_that_are_away() {
+    let bench = Bench::start("status.jsonc").await;
+    bench.apply(&mug_prints(), &["--no-announce"]).await;
+
+    let shown = bench.json(&["status"]).await;
+
+    let endpoints = shown["endpoints"].as_array().expect("a list");
+    expect_that!(endpoints.len(), eq(8));
+    expect_that!(endpoints.iter().all(|e| e["state"] == "away"), eq(true));
+}
