--- a/crates/standins/tests/store_client.rs
+++ b/crates/standins/tests/store_client.rs
@@ -126,7 +126,7 @@
     let bench = bench();
     bench
         .platform
-        .set_faults(|f| f.delay = Duration::from_secs(60));
+        .set_faults(|f| f.delay = Duration::from_mins(1));
 
     let written = bench
         .client
