--- a/crates/programs/src/ctl.rs
+++ b/crates/programs/src/ctl.rs
@@ -3,8 +3,10 @@
 mod command;
 mod connect;
 mod failure;
+mod moves;
 mod output;
 mod settings;
+mod status;
 mod tables;
 
 use std::process::ExitCode;
@@ -41,6 +43,8 @@
 async fn run(matches: &ArgMatches) -> Result<(), Failure> {
     match matches.subcommand() {
         Some(("tables", m)) => tables::run(m).await,
+        Some(("moves", m)) => moves::run(m).await,
+        Some(("status", m)) => status::run(m).await,
         _ => Err(Failure::usage("no such command")),
     }
 }
