--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -166,6 +166,6 @@
 fn list() {
     for embedded in experiments::EMBEDDED {
         let about = Experiment::from_str(embedded.text, embedded.name).map(|e| e.about);
-        println!("{:<12} {}", embedded.name, about.unwrap_or_default());
+        println!("{:<14} {}", embedded.name, about.unwrap_or_default());
     }
 }
--- a/crates/standins/src/cluster/settings.rs
+++ b/crates/standins/src/cluster/settings.rs
@@ -24,7 +24,7 @@
 }
 
 /// Returns the settings of a member's sidecar.
-pub(super) fn sidecar_settings(
+pub(crate) fn sidecar_settings(
     spec: &ClusterSpec,
     member: &Member,
     engine: SocketAddr,
@@ -55,12 +55,7 @@
 }
 
 /// Returns the settings of one entry.
-///
-/// # Errors
-///
-/// Returns [`Kind::InvalidSettings`](eelgrassramp::Kind::InvalidSettings) when the name is not
-/// valid.
-pub fn entry_settings(
+pub(crate) fn entry_settings(
     name: &str,
     listen: SocketAddr,
     store: SocketAddr,
@@ -79,6 +74,6 @@
 }
 
 /// An address that settings need but no part of this process listens on.
-pub(super) fn unused_address() -> SocketAddr {
+pub(crate) fn unused_address() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 1))
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fault;
 pub mod http;
 pub mod load;
+pub mod matrix;
 pub mod overhead;
 pub mod platform;
 pub mod service;
