--- a/crates/eelgrassramp/src/entry/guard.rs
+++ b/crates/eelgrassramp/src/entry/guard.rs
@@ -115,6 +115,10 @@
     }
 }
 
+/// Adds the home that the key had in an earlier set.
+///
+/// The set holds the endpoints of one version as it was then; an endpoint may have changed its
+/// version since, so the whole set counts as well as the part that has the version now.
 fn add_former(
     pool: &Pool,
     former: &FormerMembers,
@@ -128,15 +132,15 @@
             .get(name)
             .is_none_or(|e| e.version == *version)
     };
-    let members = former.sidecars.keys().filter(|name| could_serve(name));
-    let Some(endpoint) = key::home(key, members) else {
-        return;
-    };
-    if let Some(sidecar) = former.sidecars.get(endpoint) {
-        guards.push(Guard {
-            endpoint: endpoint.clone(),
-            sidecar: *sidecar,
-        });
+    let all = key::home(key, former.sidecars.keys());
+    let part = key::home(key, former.sidecars.keys().filter(|name| could_serve(name)));
+    for endpoint in [all, part].into_iter().flatten() {
+        if let Some(sidecar) = former.sidecars.get(endpoint) {
+            guards.push(Guard {
+                endpoint: endpoint.clone(),
+                sidecar: *sidecar,
+            });
+        }
     }
 }
 
