Entries run their moves; a refused write of progress waits before it is repeated

Cause: no process advanced moves yet. A test with two entries and an object API that goes away never ended: after a refused write the core asked for the same write at once, without end. Ruled out: the lease's loop, which waits between its calls. Change: an entry starts the moves beside its listener; the record holds back writes for one second after a failed call, as it did for reads.

--- a/crates/eelgrassramp/src/entry/serve.rs
+++ b/crates/eelgrassramp/src/entry/serve.rs
@@ -26,10 +26,13 @@
 use crate::error::Error;
 use crate::error::Kind;
 use crate::error::Result;
+use crate::id::Incarnation;
+use crate::lease::LeaseTerms;
 use crate::link::HttpLink;
 use crate::link::SidecarLink;
 use crate::membership::Follower;
 use crate::process::Context;
+use crate::rollout;
 use crate::store::Client;
 use crate::store::ClientLimits;
 use crate::store::HttpObjectApi;
@@ -69,8 +72,24 @@
     let api: Arc<dyn ObjectApi> =
         Arc::new(Client::new(&cx, Arc::new(http), ClientLimits::default()));
     let membership = Follower::start(&cx, Arc::clone(&api), Arc::clone(&current));
-    let service = Service::new(settings.clone(), link, current, cx.clone());
+    let service = Service::new(
+        settings.clone(),
+        Arc::clone(&link),
+        Arc::clone(&current),
+        cx.clone(),
+    );
     service.follow_membership(&membership);
+    let moves = rollout::Parts {
+        entry: settings.name.clone(),
+        me: Incarnation::random(&mut cx.rng(&format!("moves of {}", settings.name))),
+        link,
+        api,
+        tables: current,
+        board: Arc::new(service.clone()),
+        terms: LeaseTerms::default(),
+        load_interval: rollout::LOAD_INTERVAL,
+    };
+    tokio::spawn(rollout::run(moves, cx.clone()));
     serve_with(&settings, service, listener, cx).await
 }
 
--- a/crates/eelgrassramp/src/rollout.rs
+++ b/crates/eelgrassramp/src/rollout.rs
@@ -34,5 +34,6 @@
 pub use self::progress::Status;
 pub use self::progress::key;
 pub use self::sample::Sample;
+pub use self::shell::LOAD_INTERVAL;
 pub use self::shell::Parts;
 pub use self::shell::run;
--- a/crates/eelgrassramp/src/rollout/mover.rs
+++ b/crates/eelgrassramp/src/rollout/mover.rs
@@ -275,7 +275,7 @@
         if self.record.wants_read(now) {
             actions.push(MoveAction::ReadProgress);
         }
-        if self.record.is_busy() || !self.record.is_known() {
+        if !self.record.is_ready(now) {
             return;
         }
         if self.record.progress().is_some_and(|p| p.fence > token) {
--- a/crates/eelgrassramp/src/rollout/mover/record.rs
+++ b/crates/eelgrassramp/src/rollout/mover/record.rs
@@ -48,11 +48,12 @@
         }
     }
 
-    pub(super) const fn is_known(&self) -> bool {
-        self.stored.is_some()
+    /// Tells whether the object is known and may be written; not too soon after a failure.
+    pub(super) fn is_ready(&self, now: Monotonic) -> bool {
+        self.stored.is_some() && !self.is_busy() && now >= self.retry_at
     }
 
-    pub(super) const fn is_busy(&self) -> bool {
+    const fn is_busy(&self) -> bool {
         !matches!(self.call, Call::Nothing)
     }
 
--- a/crates/eelgrassramp/src/rollout/shell.rs
+++ b/crates/eelgrassramp/src/rollout/shell.rs
@@ -20,6 +20,12 @@
 use crate::tables::Route;
 use crate::tables::Tables;
 
+/// Least time between two orders of one entry to load a version, for each pool.
+///
+/// Only the holder of a pool's lease orders loads, so the weight store sees at most one load
+/// per interval and per pool that moves.
+pub const LOAD_INTERVAL: Duration = Duration::from_secs(15);
+
 /// What the moves of one entry need.
 #[derive(Debug, Clone)]
 pub struct Parts {
--- a/crates/eelgrassramp/tests/rollout/decisions.rs
+++ b/crates/eelgrassramp/tests/rollout/decisions.rs
@@ -322,3 +322,23 @@
     let load = EngineAction::Load(NEW.into());
     expect_that!(fences_and_actions, elements_are![(eq(&FENCE), eq(&load))]);
 }
+
+#[gtest]
+fn a_write_that_the_store_refuses_is_not_repeated_at_once() {
+    let mut bench = Bench::new(HOURS);
+    bench.handle(MoveEvent::Lease(Some(FENCE)));
+    bench.handle(MoveEvent::ProgressRead {
+        version: ObjectVersion(0),
+        progress: None,
+    });
+
+    let refused = bench.handle(MoveEvent::WriteFailed(Kind::StoreUnavailable));
+    bench.world.now_ms += 2_000;
+    let later = bench.handle(MoveEvent::Tick);
+
+    expect_that!(refused, is_empty());
+    expect_that!(
+        later,
+        elements_are![matches_pattern!(MoveAction::WriteProgress { .. })]
+    );
+}
--- a/crates/eelgrassramp/tests/rollout/main.rs
+++ b/crates/eelgrassramp/tests/rollout/main.rs
@@ -2,6 +2,7 @@
 
 mod decisions;
 mod judging;
+mod shell;
 mod threshold;
 mod trial;
 mod world;
