--- a/crates/eelgrassramp/src/rollout/comparison.rs
+++ b/crates/eelgrassramp/src/rollout/comparison.rs
@@ -19,6 +19,11 @@
 /// How far the tolerated failure rate lies above the one that the old version had.
 const TOLERATED_FAILURE_RATIO: f64 = 4.0;
 
+/// Least failure rate that is bad once the old version serves nothing.
+///
+/// A burst that makes both versions fail cannot be told from badness any more.
+const TOLERATED_WITHOUT_OLD: f64 = 0.12;
+
 /// How far the tolerated failure rate lies above the one that the old version has of late.
 const TOLERATED_RECENT_RATIO: f64 = 2.0;
 
@@ -150,7 +155,7 @@
         } else if old.requests() > 0 {
             return None;
         } else {
-            least
+            least.max(TOLERATED_WITHOUT_OLD)
         };
         Some(tolerated.min(MOST_TOLERATED_FAILURE_RATE))
     }
