--- a/crates/eelgrassramp/examples/footprint.rs
+++ b/crates/eelgrassramp/examples/footprint.rs
@@ -56,9 +56,9 @@
 /// Returns the growth of resident memory while `build` runs and its result is kept.
 fn growth<T>(build: impl FnOnce() -> T) -> u64 {
     let before = resident_bytes();
-    let built = build();
+    let kept = build();
     let after = resident_bytes();
-    black_box(&built);
+    black_box(&kept);
     after.saturating_sub(before)
 }
 
