One unit of work at entry and sidecar; affinity by assigned prefixes; orders look for free slots

Cause: the entry counted prompt and output tokens alike, the sidecar counts a hundred prompt tokens as one output token. The entry's queue thus looked some fourteen times longer than it was and refused work as unmeetable. Ruled out: the retry budget (its counter did not move). Change: Work::cost is the one unit; own work counts at the speed of one slot; a prefix has an assigned endpoint; an order takes a free slot before it stops other work; a sidecar stops the least urgent work first.

--- a/crates/eelgrassramp/src/entry/run.rs
+++ b/crates/eelgrassramp/src/entry/run.rs
@@ -293,7 +293,7 @@
             account: self.req.account.clone(),
             weight: pool.weights.get(&self.req.account).copied().unwrap_or(1),
             deadline: self.deadline,
-            cost: u64::from(work.prefill_tokens) + u64::from(work.output_tokens),
+            cost: work.cost(),
             non_idempotent: self.req.route.non_idempotent,
         };
         let wish = Wish {
@@ -338,8 +338,7 @@
         if now + ORDER_WAIT >= self.deadline || self.out.is_closed() {
             return Err(refusal);
         }
-        let work = self.work();
-        let tokens = u64::from(work.prefill_tokens) + u64::from(work.output_tokens);
+        let tokens = self.work().cost();
         self.shared.lock().raise_order_pressure(pool, tokens);
         self.shared.press(pool);
         self.shared.timers().after(ORDER_WAIT).await;
@@ -750,6 +749,7 @@
         | Kind::Revoked
         | Kind::Overloaded
         | Kind::Displaced
+        | Kind::DeadlineUnmeetable
         | Kind::PoolUnavailable
         | Kind::EndpointFailed => Advice::Elsewhere,
         _ => Advice::GiveUp,
--- a/crates/eelgrassramp/src/routing/router.rs
+++ b/crates/eelgrassramp/src/routing/router.rs
@@ -7,6 +7,7 @@
 
 use rand::Rng;
 use rand::RngExt;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::health::Outcome;
 use super::knowledge::Knowledge;
@@ -34,6 +35,7 @@
 use crate::tier::Tier;
 use crate::time::Monotonic;
 use crate::wire::Load;
+use crate::wire::PREFILL_TOKENS_PER_OUTPUT_TOKEN;
 use crate::wire::Report;
 
 /// Endpoints drawn at random for one decision.
@@ -51,8 +53,16 @@
 /// Time between two reports of one endpoint at least, when reports are wanted at once.
 const URGENT_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Part of a prefix that counts as cached at the endpoint that it is assigned to, so that
+/// requests with one prefix gather there from the first on.
+const ASSIGNED_PREFIX_FACTOR: f64 = 0.5;
+
 /// Bytes of prompt text that make one token.
-pub(crate) const BYTES_PER_TOKEN: usize = 4;
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Prompt tokens whose prefill holds up a whole batch as long as one output token of a request
+/// in that batch.
+const PREFILL_TOKENS_PER_BATCH_TOKEN: f64 = 10.0;
 
 /// What an endpoint is wanted for.
 #[derive(Debug, Clone, Copy)]
@@ -487,10 +497,16 @@
         if self.policy.ignores_load() {
             return self.baseline(pool, &usable).ok_or(Choice::Full);
         }
-        let room: Vec<usize> = usable
-            .into_iter()
-            .filter(|i| pool.views.get(*i).is_some_and(|v| v.has_room(ask.tier)))
-            .collect();
+        let mut room = usable;
+        let keep = |room: &mut Vec<usize>, wanted: &dyn Fn(&View) -> bool| {
+            room.retain(|i| pool.views.get(*i).is_some_and(wanted));
+        };
+        keep(&mut room, &|v| v.has_room(ask.tier));
+        let is_free = |i: &usize| pool.views.get(*i).is_some_and(View::has_free_slot);
+        if ask.tier == Tier::Order && room.iter().any(is_free) {
+            // An order that finds no free slot stops less urgent work.
+            keep(&mut room, &View::has_free_slot);
+        }
         self.earliest(now, pool, &version, &room, ask, rng)
             .ok_or(Choice::Full)
     }
@@ -541,13 +557,16 @@
         if room.is_empty() {
             return None;
         }
-        let depths = if self.policy.uses_prefix() {
-            pool.prefix.depths(ask.prefix)
+        let cached = if self.policy.uses_prefix() {
+            Cached {
+                depths: pool.prefix.depths(ask.prefix),
+                assigned: assigned(pool, room, ask.prefix),
+            }
         } else {
-            Depths::default()
+            Cached::default()
         };
         let mean = pool.mean_backlog(version);
-        let deepest = depths.deepest();
+        let deepest = cached.depths.deepest();
         let holders = room
             .iter()
             .filter(|i| pool.slot(**i).is_some_and(|s| deepest & (1 << s) != 0))
@@ -557,7 +576,8 @@
             .filter_map(|n| room.get(n))
             .chain(holders)
             .copied()
-            .map(|i| (self.expected(now, pool, i, mean, &depths, ask), i))
+            .chain(cached.assigned)
+            .map(|i| (self.expected(now, pool, i, mean, &cached, ask), i))
             .min()
             .map(|(_, i)| i)
     }
@@ -569,22 +589,16 @@
         pool: &PoolView,
         i: usize,
         mean: f64,
-        depths: &Depths,
+        cached: &Cached,
         ask: &Ask<'_>,
     ) -> Duration {
         let Some(view) = pool.views.get(i) else {
             return Duration::MAX;
         };
-        let saved = pool.slot(i).map_or(0.0, |slot| {
-            let trust = if pool.prefix.is_unsure(slot) {
-                UNSURE_PREFIX_FACTOR
-            } else {
-                1.0
-            };
-            trust * (depths.of(slot) * BLOCK_BYTES / BYTES_PER_TOKEN) as f64
-        });
-        let own = (ask.tokens as f64 - saved).max(1.0);
-        let seconds = (view.backlog(now, mean) + own) / view.speed();
+        let saved = cached.tokens(pool, i, ask.prefix);
+        let own = (ask.tokens as f64 - saved / f64::from(PREFILL_TOKENS_PER_OUTPUT_TOKEN)).max(1.0);
+        let shared = view.backlog(now, mean) - saved / PREFILL_TOKENS_PER_BATCH_TOKEN;
+        let seconds = (own * view.slots() + shared).max(0.0) / view.speed();
         let domain = if view.endpoint.domain == self.domain {
             1.0
         } else {
@@ -597,7 +611,7 @@
     fn reserve(&mut self, now: Monotonic, pool: &PoolName, i: usize, ask: &Ask<'_>) -> Choice {
         let refused = Choice::Refused(Kind::PoolUnavailable);
         let expected = match self.pools.get(pool) {
-            Some(view) => self.expected(now, view, i, 0.0, &Depths::default(), ask),
+            Some(view) => self.expected(now, view, i, 0.0, &Cached::default(), ask),
             None => return refused,
         };
         let Some(pool) = self.pools.get_mut(pool) else {
@@ -624,6 +638,44 @@
     }
 }
 
+/// Where the prefix of one request is cached, as far as is known.
+#[derive(Debug, Default)]
+struct Cached {
+    depths: Depths,
+    /// The endpoint that requests with this prefix gather at.
+    assigned: Option<usize>,
+}
+
+impl Cached {
+    /// Returns the prompt tokens that the endpoint at `i` need not prefill.
+    fn tokens(&self, pool: &PoolView, i: usize, prefix: &[u64]) -> f64 {
+        let known = pool.slot(i).map_or(0.0, |slot| {
+            let trust = if pool.prefix.is_unsure(slot) {
+                UNSURE_PREFIX_FACTOR
+            } else {
+                1.0
+            };
+            trust * self.depths.of(slot) as f64
+        });
+        let hoped = if self.assigned == Some(i) {
+            ASSIGNED_PREFIX_FACTOR * prefix.len() as f64
+        } else {
+            0.0
+        };
+        known.max(hoped) * (BLOCK_BYTES / BYTES_PER_TOKEN) as f64
+    }
+}
+
+/// Returns the endpoint in `room` that requests with this prefix gather at, by rendezvous hash.
+fn assigned(pool: &PoolView, room: &[usize], prefix: &[u64]) -> Option<usize> {
+    let first = prefix.first()?;
+    let score = |i: &usize| {
+        let name = &pool.views.get(*i)?.endpoint.name;
+        Some(xxh3_64_with_seed(name.as_str().as_bytes(), *first))
+    };
+    room.iter().copied().max_by_key(|i| score(i))
+}
+
 /// Returns how long ago an endpoint was due to be asked; `None` when it is not due.
 fn overdue(view: &View, now: Monotonic, interval: Option<Duration>) -> Option<Duration> {
     let Some(asked) = view.asked_at else {
--- a/crates/eelgrassramp/src/routing/view.rs
+++ b/crates/eelgrassramp/src/routing/view.rs
@@ -15,8 +15,11 @@
 /// Time after which half of what a report says of the backlog is taken from the pool's mean.
 const STALENESS_HALF_LIFE: Duration = Duration::from_secs(2);
 
-/// Requests that a sidecar may hold back beyond what its engine runs.
-const SHORT_QUEUE: u32 = 2;
+/// Requests that a sidecar may hold back beyond what its engine runs, at least.
+const MIN_SHORT_QUEUE: u32 = 2;
+
+/// Slots of an engine for each request that its sidecar may hold back.
+const SLOTS_PER_QUEUED: u32 = 4;
 
 /// Speed assumed before any was measured, in tokens per second.
 const DEFAULT_SPEED: f64 = 1_000.0;
@@ -134,12 +137,28 @@
         let Some(load) = self.load.as_ref() else {
             return false;
         };
+        let queue = MIN_SHORT_QUEUE.max(load.slots / SLOTS_PER_QUEUED);
+        tier <= load.floor && self.held() < load.slots.saturating_add(queue)
+    }
+
+    /// Tells whether the engine would start a request at once.
+    pub fn has_free_slot(&self) -> bool {
+        self.load.as_ref().is_some_and(|l| self.held() < l.slots)
+    }
+
+    /// Returns the requests that the engine can run at a time.
+    pub fn slots(&self) -> f64 {
+        self.load
+            .as_ref()
+            .map_or(1.0, |l| f64::from(l.slots.max(1)))
+    }
+
+    /// Returns the requests that wait or run at the sidecar, as far as is known.
+    fn held(&self) -> u32 {
         let uncounted = u32::try_from(self.uncounted.len()).unwrap_or(u32::MAX);
-        let held = load
-            .running
-            .saturating_add(load.queued)
-            .saturating_add(uncounted);
-        tier <= load.floor && held < load.slots.saturating_add(SHORT_QUEUE)
+        self.load.as_ref().map_or(uncounted, |l| {
+            l.running.saturating_add(l.queued).saturating_add(uncounted)
+        })
     }
 
     /// Tells whether the endpoint could take work at all.
--- a/crates/eelgrassramp/src/sidecar/scheduler.rs
+++ b/crates/eelgrassramp/src/sidecar/scheduler.rs
@@ -309,12 +309,13 @@
         }
     }
 
-    /// Returns the running request whose loss wastes the least prefill.
+    /// Returns the least urgent running request, and among those the one whose loss wastes the
+    /// least prefill.
     fn victim(&self) -> Option<RequestId> {
         self.running
             .iter()
             .filter(|(_, r)| r.can_stop && !r.stopping && r.tier > Tier::Order)
-            .min_by_key(|(id, r)| (r.prefill_tokens, std::cmp::Reverse(r.tier), **id))
+            .min_by_key(|(id, r)| (std::cmp::Reverse(r.tier), r.prefill_tokens, **id))
             .map(|(id, _)| *id)
     }
 
--- a/crates/eelgrassramp/src/sidecar/speed.rs
+++ b/crates/eelgrassramp/src/sidecar/speed.rs
@@ -5,30 +5,21 @@
 use crate::wire::Usage;
 use crate::wire::Work;
 
-/// Prompt tokens that cost as much time as one output token.
-const PREFILL_TOKENS_PER_OUTPUT_TOKEN: u64 = 100;
-
 /// Weight of a new measurement in the moving average.
 const SMOOTHING: f64 = 0.1;
 
 /// Returns the predicted cost of a request in output tokens.
 pub(super) fn cost_of(work: Work) -> u64 {
-    to_cost(
-        u64::from(work.prefill_tokens),
-        u64::from(work.output_tokens),
-    )
+    work.cost()
 }
 
 /// Returns the actual cost of a request in output tokens; a plain service's call costs 1.
 pub(super) fn cost_used(usage: Usage) -> u64 {
-    to_cost(
-        u64::from(usage.prefill_tokens),
-        u64::from(usage.output_tokens),
-    )
-}
-
-fn to_cost(prefill: u64, output: u64) -> u64 {
-    (output + prefill / PREFILL_TOKENS_PER_OUTPUT_TOKEN).max(1)
+    let used = Work {
+        prefill_tokens: usage.prefill_tokens,
+        output_tokens: usage.output_tokens,
+    };
+    used.cost()
 }
 
 /// A moving average of the tokens that one request gets in a second.
--- a/crates/eelgrassramp/src/wire/message.rs
+++ b/crates/eelgrassramp/src/wire/message.rs
@@ -94,6 +94,20 @@
     pub output_tokens: u32,
 }
 
+/// Prompt tokens whose prefill takes a request as long as one output token.
+pub const PREFILL_TOKENS_PER_OUTPUT_TOKEN: u32 = 100;
+
+impl Work {
+    /// Returns the predicted cost in output tokens, at least 1.
+    ///
+    /// Backlogs, queues and speeds are all counted in this unit.
+    #[must_use]
+    pub fn cost(self) -> u64 {
+        let prefill = self.prefill_tokens / PREFILL_TOKENS_PER_OUTPUT_TOKEN;
+        (u64::from(self.output_tokens) + u64::from(prefill)).max(1)
+    }
+}
+
 /// The HTTP call that an endpoint gets.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Call {
