Prefix affinity: two variants tried and taken back

Tried: counting the assigned endpoint's prefix twice, and taking the assigned endpoint outright while it has room.

--- a/crates/eelgrassramp/src/routing/router.rs
+++ b/crates/eelgrassramp/src/routing/router.rs
@@ -53,13 +53,9 @@
 /// Time between two reports of one endpoint at least, when reports are wanted at once.
 const URGENT_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Factor on the length of a prefix at the endpoint that it is assigned to; more than 1, because
-/// requests that gather there save prefill for those that follow.
-const ASSIGNED_PREFIX_FACTOR: f64 = 2.0;
-
-/// Part of a cached prefix that counts at an endpoint that it is not assigned to, where others
-/// will soon push it out.
-const STRAY_PREFIX_FACTOR: f64 = 0.5;
+/// Part of a prefix that counts as cached at the endpoint that it is assigned to, so that
+/// requests with one prefix gather there from the first on.
+const ASSIGNED_PREFIX_FACTOR: f64 = 0.5;
 
 /// Bytes of prompt text that make one token.
 const BYTES_PER_TOKEN: usize = 4;
@@ -661,12 +657,12 @@
             };
             trust * self.depths.of(slot) as f64
         });
-        let blocks = if self.assigned == Some(i) {
+        let hoped = if self.assigned == Some(i) {
             ASSIGNED_PREFIX_FACTOR * prefix.len() as f64
         } else {
-            STRAY_PREFIX_FACTOR * known
+            0.0
         };
-        blocks * (BLOCK_BYTES / BYTES_PER_TOKEN) as f64
+        known.max(hoped) * (BLOCK_BYTES / BYTES_PER_TOKEN) as f64
     }
 }
 
