--- a/crates/eelgrassramp/src/routing/router.rs
+++ b/crates/eelgrassramp/src/routing/router.rs
@@ -57,6 +57,9 @@
 /// requests with one prefix gather there from the first on.
 const ASSIGNED_PREFIX_FACTOR: f64 = 0.5;
 
+/// Time that an order may be slower for it to spare the work that it would stop.
+const PREEMPTION_COST: Duration = Duration::from_millis(500);
+
 /// Bytes of prompt text that make one token.
 const BYTES_PER_TOKEN: usize = 4;
 
@@ -498,15 +501,7 @@
             return self.baseline(pool, &usable).ok_or(Choice::Full);
         }
         let mut room = usable;
-        let keep = |room: &mut Vec<usize>, wanted: &dyn Fn(&View) -> bool| {
-            room.retain(|i| pool.views.get(*i).is_some_and(wanted));
-        };
-        keep(&mut room, &|v| v.has_room(ask.tier));
-        let is_free = |i: &usize| pool.views.get(*i).is_some_and(View::has_free_slot);
-        if ask.tier == Tier::Order && room.iter().any(is_free) {
-            // An order that finds no free slot stops less urgent work.
-            keep(&mut room, &View::has_free_slot);
-        }
+        room.retain(|i| pool.views.get(*i).is_some_and(|v| v.has_room(ask.tier)));
         self.earliest(now, pool, &version, &room, ask, rng)
             .ok_or(Choice::Full)
     }
@@ -598,7 +593,16 @@
         let saved = cached.tokens(pool, i, ask.prefix);
         let own = (ask.tokens as f64 - saved / f64::from(PREFILL_TOKENS_PER_OUTPUT_TOKEN)).max(1.0);
         let shared = view.backlog(now, mean) - saved / PREFILL_TOKENS_PER_BATCH_TOKEN;
-        let seconds = (own * view.slots() + shared).max(0.0) / view.speed();
+        // Orders spread by backlog; the fastest engines would else hold too many of them.
+        let alone = if ask.tier == Tier::Order {
+            1.0
+        } else {
+            view.slots()
+        };
+        let mut seconds = (own * alone + shared).max(0.0) / view.speed();
+        if ask.tier == Tier::Order && !view.has_free_slot() {
+            seconds += PREEMPTION_COST.as_secs_f64();
+        }
         let domain = if view.endpoint.domain == self.domain {
             1.0
         } else {
