--- a/crates/eelgrassramp/tests/sidecar/fixture.rs
+++ b/crates/eelgrassramp/tests/sidecar/fixture.rs
@@ -23,12 +23,14 @@
 use eelgrassramp::link::FrameStream;
 use eelgrassramp::sidecar::Service;
 use eelgrassramp::sidecar::Settings;
+use eelgrassramp::store::ObjectApi;
 use eelgrassramp::wire::CacheUpdate;
 use eelgrassramp::wire::Call;
 use eelgrassramp::wire::Dispatch;
 use eelgrassramp::wire::EngineAction;
 use eelgrassramp::wire::Failure;
 use eelgrassramp::wire::Frame;
+use eelgrassramp::wire::Header;
 use eelgrassramp::wire::Load;
 use eelgrassramp::wire::ReportRequest;
 use eelgrassramp::wire::Usage;
@@ -60,6 +62,8 @@
     BreaksForGood,
     /// Waits for [`FakeEngine::release`] before the first byte.
     Holds,
+    /// Answers whole and tells that it ran the request twice.
+    RunsTwice,
     /// Answers orders without carrying them out.
     IgnoresOrders,
 }
@@ -121,6 +125,15 @@
             (BODY.len(), Ok(EngineEvent::End(usage())))
         };
         let mut events = events(0, end);
+        if script == Script::RunsTwice {
+            events[0] = Ok(EngineEvent::Head {
+                status: 200,
+                headers: vec![Header {
+                    name: "x-executions".into(),
+                    value: b"2".to_vec(),
+                }],
+            });
+        }
         events.push(last);
         Ok(Box::pin(stream::iter(events)))
     }
@@ -199,13 +212,14 @@
 }
 
 pub fn sidecar(script: Script) -> Fixture {
-    sidecar_with(settings(), script)
+    sidecar_with(None, script)
 }
 
-pub fn sidecar_with(settings: Settings, script: Script) -> Fixture {
+/// Starts a sidecar whose platform is `store`.
+pub fn sidecar_with(store: Option<Arc<dyn ObjectApi>>, script: Script) -> Fixture {
     let cx = Context::quiet(1);
     let engine = FakeEngine::new(script);
-    let service = Service::start(settings, Arc::clone(&engine) as _, None, cx.clone());
+    let service = Service::start(settings(), Arc::clone(&engine) as _, store, cx.clone());
     Fixture {
         service,
         engine,
--- a/crates/eelgrassramp/tests/sidecar/hostile.rs
+++ b/crates/eelgrassramp/tests/sidecar/hostile.rs
@@ -189,6 +189,15 @@
     expect_that!(answer, contains_substring("HTTP/1.1 408"));
 }
 
+#[googletest::test]
+fn the_sample_settings_are_valid() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/sidecar.jsonc");
+
+    let settings = Settings::from_file(std::path::Path::new(path));
+
+    expect_that!(settings, ok(anything()));
+}
+
 #[googletest::test]
 fn each_bad_settings_file_gets_its_own_message() {
     let cases = [
--- a/crates/eelgrassramp/tests/sidecar/main.rs
+++ b/crates/eelgrassramp/tests/sidecar/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the sidecar through its public interface.
 
+mod endings;
 mod engine;
 mod fixture;
 mod hostile;
--- a/crates/eelgrassramp/tests/sidecar/orders.rs
+++ b/crates/eelgrassramp/tests/sidecar/orders.rs
@@ -1,10 +1,22 @@
 //! Orders to the engine and their fencing tokens.
 
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use eelgrassramp::Error;
 use eelgrassramp::FencingToken;
+use eelgrassramp::Incarnation;
 use eelgrassramp::Kind;
+use eelgrassramp::ObjectVersion;
 use eelgrassramp::Ran;
 use eelgrassramp::Tier;
 use eelgrassramp::VersionName;
+use eelgrassramp::lease::LeaseObject;
+use eelgrassramp::store::Object;
+use eelgrassramp::store::ObjectApi;
+use eelgrassramp::store::Vm;
 use eelgrassramp::wire::EngineAction;
 use eelgrassramp::wire::EngineOrder;
 use googletest::prelude::*;
@@ -16,6 +28,7 @@
 use super::fixture::read;
 use super::fixture::request;
 use super::fixture::sidecar;
+use super::fixture::sidecar_with;
 
 fn order(fence: u64, action: EngineAction) -> EngineOrder {
     EngineOrder {
@@ -29,6 +42,57 @@
     EngineAction::Load(VersionName::from(version))
 }
 
+/// A store that holds one lease, or is away.
+#[derive(Debug)]
+struct LeaseStore {
+    fence: Option<u64>,
+}
+
+#[async_trait]
+impl ObjectApi for LeaseStore {
+    async fn get(&self, key: &str) -> eelgrassramp::Result<Object> {
+        let away = || Error::new(Kind::StoreUnavailable, "away by script");
+        let lease = LeaseObject {
+            holder: Incarnation(1),
+            entry: "entry-1".into(),
+            fence: FencingToken(self.fence.ok_or_else(away)?),
+            write: 1,
+            released: false,
+        };
+        Ok(Object {
+            key: key.to_owned(),
+            version: ObjectVersion(1),
+            value: lease.to_bytes()?,
+        })
+    }
+
+    async fn put(
+        &self,
+        _: &str,
+        _: ObjectVersion,
+        _: Bytes,
+    ) -> eelgrassramp::Result<ObjectVersion> {
+        Err(Error::new(Kind::StoreUnavailable, "only read here"))
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        _: ObjectVersion,
+        _: Duration,
+    ) -> eelgrassramp::Result<Object> {
+        self.get(key).await
+    }
+
+    async fn list(&self, _: &str) -> eelgrassramp::Result<Vec<Object>> {
+        Ok(Vec::new())
+    }
+
+    async fn vms(&self) -> eelgrassramp::Result<Vec<Vm>> {
+        Ok(Vec::new())
+    }
+}
+
 async fn fenced(script: Script) -> Fixture {
     let fx = sidecar(script);
     fx.service.order(order(5, EngineAction::Fence)).await;
@@ -65,6 +129,27 @@
     expect_that!(known.done, eq(true));
 }
 
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn after_a_start_the_lease_in_the_store_tells_the_lowest_token() {
+    let with_lease = sidecar_with(
+        Some(Arc::new(LeaseStore { fence: Some(8) })),
+        Script::Answers,
+    );
+    let away = sidecar_with(Some(Arc::new(LeaseStore { fence: None })), Script::Answers);
+
+    let paused_holder = with_lease
+        .service
+        .order(order(7, EngineAction::Fence))
+        .await;
+    let holder = with_lease.service.order(order(8, load("v2"))).await;
+    let unknown = away.service.order(order(9, load("v2"))).await;
+
+    expect_that!(paused_holder.refused, some(eq(Kind::FencedOff)));
+    expect_that!(holder.done, eq(true));
+    expect_that!(unknown.refused, some(eq(Kind::StoreUnavailable)));
+}
+
 #[googletest::test]
 #[tokio::test(start_paused = true)]
 async fn an_order_that_the_engine_ignored_is_not_done() {
