--- a/crates/eelgrassramp/tests/sidecar/hostile.rs
+++ b/crates/eelgrassramp/tests/sidecar/hostile.rs
@@ -191,7 +191,10 @@
 
 #[googletest::test]
 fn the_sample_settings_are_valid() {
-    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/settings/sidecar.jsonc");
+    let path = concat!(
+        env!("CARGO_MANIFEST_DIR"),
+        "/../../examples/settings/sidecar.jsonc"
+    );
 
     let settings = Settings::from_file(std::path::Path::new(path));
 
