--- a/crates/eelgrassramp/src/entry/run.rs
+++ b/crates/eelgrassramp/src/entry/run.rs
@@ -338,8 +338,7 @@
         if now + ORDER_WAIT >= self.deadline || self.out.is_closed() {
             return Err(refusal);
         }
-        let work = self.work();
-        let tokens = work.cost();
+        let tokens = self.work().cost();
         self.shared.lock().raise_order_pressure(pool, tokens);
         self.shared.press(pool);
         self.shared.timers().after(ORDER_WAIT).await;
@@ -750,6 +749,7 @@
         | Kind::Revoked
         | Kind::Overloaded
         | Kind::Displaced
+        | Kind::DeadlineUnmeetable
         | Kind::PoolUnavailable
         | Kind::EndpointFailed => Advice::Elsewhere,
         _ => Advice::GiveUp,
--- a/crates/eelgrassramp/src/routing/router.rs
+++ b/crates/eelgrassramp/src/routing/router.rs
@@ -7,6 +7,7 @@
 
 use rand::Rng;
 use rand::RngExt;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::health::Outcome;
 use super::knowledge::Knowledge;
@@ -34,8 +35,8 @@
 use crate::tier::Tier;
 use crate::time::Monotonic;
 use crate::wire::Load;
+use crate::wire::PREFILL_TOKENS_PER_OUTPUT_TOKEN;
 use crate::wire::Report;
-use crate::wire::Work;
 
 /// Endpoints drawn at random for one decision.
 const RANDOM_CANDIDATES: usize = 3;
@@ -55,8 +56,19 @@
 /// Time between two reports of one endpoint at least, when reports are wanted at once.
 const URGENT_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Part of a prefix that counts as cached at the endpoint that it is assigned to, so that
+/// requests with one prefix gather there from the first on.
+const ASSIGNED_PREFIX_FACTOR: f64 = 0.5;
+
+/// Time that an order may be slower for it to spare the work that it would stop.
+const PREEMPTION_COST: Duration = Duration::from_millis(500);
+
 /// Bytes of prompt text that make one token.
-pub(crate) const BYTES_PER_TOKEN: usize = 4;
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Prompt tokens whose prefill holds up a whole batch as long as one output token of a request
+/// in that batch.
+const PREFILL_TOKENS_PER_BATCH_TOKEN: f64 = 10.0;
 
 /// What an endpoint is wanted for.
 #[derive(Debug, Clone, Copy)]
@@ -489,10 +501,8 @@
         if self.policy.ignores_load() {
             return self.baseline(pool, &usable).ok_or(Choice::Full);
         }
-        let room: Vec<usize> = usable
-            .into_iter()
-            .filter(|i| pool.views.get(*i).is_some_and(|v| v.has_room(ask.tier)))
-            .collect();
+        let mut room = usable;
+        room.retain(|i| pool.views.get(*i).is_some_and(|v| v.has_room(ask.tier)));
         self.earliest(now, pool, &version, &room, ask, rng)
             .ok_or(Choice::Full)
     }
@@ -543,13 +553,16 @@
         if room.is_empty() {
             return None;
         }
-        let depths = if self.policy.uses_prefix() {
-            pool.prefix.depths(ask.prefix)
+        let cached = if self.policy.uses_prefix() {
+            Cached {
+                depths: pool.prefix.depths(ask.prefix),
+                assigned: assigned(pool, room, ask.prefix),
+            }
         } else {
-            Depths::default()
+            Cached::default()
         };
         let mean = pool.mean_backlog(version);
-        let deepest = depths.deepest();
+        let deepest = cached.depths.deepest();
         let holders = room
             .iter()
             .filter(|i| pool.slot(**i).is_some_and(|s| deepest & (1 << s) != 0))
@@ -559,7 +572,8 @@
             .filter_map(|n| room.get(n))
             .chain(holders)
             .copied()
-            .map(|i| (self.expected(now, pool, i, mean, &depths, ask), i))
+            .chain(cached.assigned)
+            .map(|i| (self.expected(now, pool, i, mean, &cached, ask), i))
             .min()
             .map(|(_, i)| i)
     }
@@ -571,23 +585,25 @@
         pool: &PoolView,
         i: usize,
         mean: f64,
-        depths: &Depths,
+        cached: &Cached,
         ask: &Ask<'_>,
     ) -> Duration {
         let Some(view) = pool.views.get(i) else {
             return Duration::MAX;
         };
-        let saved = pool.slot(i).map_or(0.0, |slot| {
-            let trust = if pool.prefix.is_unsure(slot) {
-                UNSURE_PREFIX_FACTOR
-            } else {
-                1.0
-            };
-            let cached = (depths.of(slot) * BLOCK_BYTES / BYTES_PER_TOKEN) as f64;
-            trust * Work::cost_of_prefill(cached)
-        });
-        let own = (ask.tokens as f64 - saved).max(1.0);
-        let seconds = (view.backlog(now, mean) + own) / view.speed();
+        let saved = cached.tokens(pool, i, ask.prefix);
+        let own = (ask.tokens as f64 - saved / f64::from(PREFILL_TOKENS_PER_OUTPUT_TOKEN)).max(1.0);
+        let shared = view.backlog(now, mean) - saved / PREFILL_TOKENS_PER_BATCH_TOKEN;
+        // Orders spread by backlog; the fastest engines would else hold too many of them.
+        let alone = if ask.tier == Tier::Order {
+            1.0
+        } else {
+            view.slots()
+        };
+        let mut seconds = (own * alone + shared).max(0.0) / view.speed();
+        if ask.tier == Tier::Order && !view.has_free_slot() {
+            seconds += PREEMPTION_COST.as_secs_f64();
+        }
         let domain = if view.endpoint.domain == self.domain {
             1.0
         } else {
@@ -600,7 +616,7 @@
     fn reserve(&mut self, now: Monotonic, pool: &PoolName, i: usize, ask: &Ask<'_>) -> Choice {
         let refused = Choice::Refused(Kind::PoolUnavailable);
         let expected = match self.pools.get(pool) {
-            Some(view) => self.expected(now, view, i, 0.0, &Depths::default(), ask),
+            Some(view) => self.expected(now, view, i, 0.0, &Cached::default(), ask),
             None => return refused,
         };
         let Some(pool) = self.pools.get_mut(pool) else {
@@ -627,6 +643,44 @@
     }
 }
 
+/// Where the prefix of one request is cached, as far as is known.
+#[derive(Debug, Default)]
+struct Cached {
+    depths: Depths,
+    /// The endpoint that requests with this prefix gather at.
+    assigned: Option<usize>,
+}
+
+impl Cached {
+    /// Returns the prompt tokens that the endpoint at `i` need not prefill.
+    fn tokens(&self, pool: &PoolView, i: usize, prefix: &[u64]) -> f64 {
+        let known = pool.slot(i).map_or(0.0, |slot| {
+            let trust = if pool.prefix.is_unsure(slot) {
+                UNSURE_PREFIX_FACTOR
+            } else {
+                1.0
+            };
+            trust * self.depths.of(slot) as f64
+        });
+        let hoped = if self.assigned == Some(i) {
+            ASSIGNED_PREFIX_FACTOR * prefix.len() as f64
+        } else {
+            0.0
+        };
+        known.max(hoped) * (BLOCK_BYTES / BYTES_PER_TOKEN) as f64
+    }
+}
+
+/// Returns the endpoint in `room` that requests with this prefix gather at, by rendezvous hash.
+fn assigned(pool: &PoolView, room: &[usize], prefix: &[u64]) -> Option<usize> {
+    let first = prefix.first()?;
+    let score = |i: &usize| {
+        let name = &pool.views.get(*i)?.endpoint.name;
+        Some(xxh3_64_with_seed(name.as_str().as_bytes(), *first))
+    };
+    room.iter().copied().max_by_key(|i| score(i))
+}
+
 /// Returns how long ago an endpoint was due to be asked; `None` when it is not due.
 fn overdue(view: &View, now: Monotonic, interval: Option<Duration>) -> Option<Duration> {
     let Some(asked) = view.asked_at else {
--- a/crates/eelgrassramp/src/sidecar/scheduler.rs
+++ b/crates/eelgrassramp/src/sidecar/scheduler.rs
@@ -318,7 +318,7 @@
         }
     }
 
-    /// Returns the least urgent running request, among equals the one whose loss wastes the
+    /// Returns the least urgent running request, and among those the one whose loss wastes the
     /// least prefill.
     fn victim(&self) -> Option<RequestId> {
         self.running
--- a/crates/eelgrassramp/src/sidecar/work.rs
+++ b/crates/eelgrassramp/src/sidecar/work.rs
@@ -16,6 +16,7 @@
 
 use super::run::Run;
 use super::scheduler::Action;
+use super::speed::cost_of;
 use super::state::Shared;
 use super::state::State;
 
@@ -72,7 +73,7 @@
             account: msg.account.clone(),
             weight: weight.unwrap_or(1),
             deadline: now + msg.deadline().min(MAX_DEADLINE),
-            cost: msg.work.cost(),
+            cost: cost_of(msg.work),
             non_idempotent: msg.non_idempotent,
         }
     }
