--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -2,6 +2,7 @@
 
 mod demo;
 mod experiments;
+mod overhead;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -69,6 +70,26 @@
                 .arg(Arg::new("name").value_name("NAME").required(true))
                 .args(output_args()),
         )
+        .subcommand(
+            Command::new("overhead")
+                .about("Measures what an entry and a sidecar add to a call, on loopback")
+                .arg(
+                    Arg::new("calls")
+                        .long("calls")
+                        .value_name("N")
+                        .help("Calls of each kind for latency")
+                        .default_value("2000")
+                        .value_parser(value_parser!(u64)),
+                )
+                .arg(
+                    Arg::new("seconds")
+                        .long("seconds")
+                        .value_name("SECONDS")
+                        .help("Time of each phase with many callers")
+                        .default_value("5")
+                        .value_parser(value_parser!(u64)),
+                ),
+        )
         .subcommand(Command::new("list").about("Lists the experiments that come with this program"))
 }
 
@@ -105,6 +126,7 @@
     let matches = command().get_matches();
     let ended = match matches.subcommand() {
         Some(("demo", args)) => demo::demo(args),
+        Some(("overhead", args)) => overhead::overhead(args),
         Some(("load", args)) => load(args),
         Some(("run", args)) => run(args),
         _ => {
@@ -144,6 +166,6 @@
 fn list() {
     for embedded in experiments::EMBEDDED {
         let about = Experiment::from_str(embedded.text, embedded.name).map(|e| e.about);
-        println!("{:<12} {}", embedded.name, about.unwrap_or_default());
+        println!("{:<14} {}", embedded.name, about.unwrap_or_default());
     }
 }
--- a/crates/standins/src/cli/experiments.rs
+++ b/crates/standins/src/cli/experiments.rs
@@ -29,6 +29,10 @@
         name: "overload",
         text: include_str!("../../experiments/overload.jsonc"),
     },
+    Embedded {
+        name: "overload-brief",
+        text: include_str!("../../experiments/overload-brief.jsonc"),
+    },
     Embedded {
         name: "fairness",
         text: include_str!("../../experiments/fairness.jsonc"),
--- a/crates/standins/src/cluster/loopback.rs
+++ b/crates/standins/src/cluster/loopback.rs
@@ -1,6 +1,5 @@
 //! A deployment whose parts talk over real connections on loopback.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +9,6 @@
 use eelgrassramp::Kind;
 use eelgrassramp::ObjectVersion;
 use eelgrassramp::Result;
-use eelgrassramp::VersionName;
 use eelgrassramp::engine::HttpEngine;
 use eelgrassramp::entry;
 use eelgrassramp::num;
@@ -31,7 +29,6 @@
 use super::spec::ClusterSpec;
 use super::spec::Member;
 use super::spec::Scheduling;
-use crate::engine::Badness;
 use crate::engine::ModelEngine;
 use crate::http::Handler;
 use crate::http::serve;
@@ -73,12 +70,7 @@
     /// # Errors
     ///
     /// Returns [`Kind::InvalidSettings`] when a part cannot listen or refuses its settings.
-    pub async fn start(
-        spec: &ClusterSpec,
-        bad_versions: &BTreeMap<VersionName, Badness>,
-        seed: u64,
-        cx: Context,
-    ) -> Result<Self> {
+    pub async fn start(spec: &ClusterSpec, seed: u64, cx: Context) -> Result<Self> {
         let outside = CancellationToken::new();
         let platform = Platform::new(PlatformSettings::default(), cx.timers.clone());
         let store = listen(Arc::clone(&platform) as Arc<dyn Handler>, &outside).await?;
@@ -96,9 +88,7 @@
         };
         for (i, member) in spec.members().into_iter().enumerate() {
             let seed = seed + num::count(i);
-            cluster
-                .start_member(spec, member, bad_versions, seed)
-                .await?;
+            cluster.start_member(spec, member, seed).await?;
         }
         for i in 0..spec.entries {
             cluster.start_entry(i).await?;
@@ -119,13 +109,13 @@
         api.put(tables::OBJECT_KEY, current.version, value).await
     }
 
-    /// Waits for at most `limit` until all entries say that they are ready.
+    /// Waits for at most `limit` until each of these entries says that it is ready.
     ///
     /// # Errors
     ///
     /// Returns [`Kind::PoolUnavailable`] when an entry is not ready in time.
-    pub async fn ready(&self, limit: Duration) -> Result<()> {
-        for entry in &self.entries {
+    pub async fn ready(&self, entries: &[SocketAddr], limit: Duration) -> Result<()> {
+        for entry in entries {
             let ready = async {
                 while !matches!(get(*entry, "/readyz").await, Some((200, _))) {
                     self.cx.timers.after(READY_POLL).await;
@@ -162,10 +152,9 @@
         &mut self,
         spec: &ClusterSpec,
         mut member: Member,
-        bad_versions: &BTreeMap<VersionName, Badness>,
         seed: u64,
     ) -> Result<()> {
-        let handler = self.start_endpoint(spec, &member, bad_versions, seed);
+        let handler = self.start_endpoint(spec, &member, seed);
         let endpoint = listen(handler, &self.outside).await?;
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let listener = TcpListener::bind(any).await.map_err(not_bound)?;
@@ -193,14 +182,12 @@
         &mut self,
         spec: &ClusterSpec,
         member: &Member,
-        bad_versions: &BTreeMap<VersionName, Badness>,
         seed: u64,
     ) -> Arc<dyn Handler> {
         let timers = self.cx.timers.clone();
         match member.kind {
             ClassKind::Model => {
-                let mut settings = spec.engine_settings(member, seed);
-                settings.bad_versions.clone_from(bad_versions);
+                let settings = spec.engine_settings(member, seed);
                 let engine = ModelEngine::start(settings, timers);
                 self.engines.push(Arc::clone(&engine));
                 engine
--- a/crates/standins/src/cluster/settings.rs
+++ b/crates/standins/src/cluster/settings.rs
@@ -15,7 +15,7 @@
 use crate::load::ClassKind;
 
 /// Time after a sidecar's start from which it knows that a new key was never used before.
-pub(super) const KEY_MARGIN: Duration = Duration::from_millis(2_500);
+pub(super) const KEY_MARGIN: Duration = Duration::from_secs(4);
 
 /// Returns the Unix time in milliseconds.
 #[must_use]
--- /dev/null
+++ b/crates/standins/src/demo/moving.rs
@@ -0,0 +1,150 @@
+//! The second part: a move to a new version, which takes minutes, on a simulated clock.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use eelgrassramp::Error;
+use eelgrassramp::Kind;
+use eelgrassramp::Result;
+use eelgrassramp::VersionName;
+use eelgrassramp::tables::MoveRow;
+use jiff::SignedDuration;
+use jiff::Timestamp;
+
+use super::follow::MoveStatus;
+use super::follow::read_move;
+use super::report::MoveReport;
+use super::run::Options;
+use super::run::say;
+use crate::check::Starts;
+use crate::check::check;
+use crate::cluster::InProcess;
+use crate::cluster::Scheduling;
+use crate::cluster::document;
+use crate::engine::Badness;
+use crate::experiment::Experiment;
+use crate::load::Arrivals;
+use crate::load::Sample;
+use crate::load::Summary;
+use crate::load::Target;
+use crate::load::drive;
+
+const NEW_VERSION: &str = "v2";
+const MOVE_DEADLINE: SignedDuration = SignedDuration::from_mins(10);
+const MOVE_LIMIT: Duration = Duration::from_mins(30);
+const MOVE_POLL: Duration = Duration::from_secs(1);
+const PROGRESS_PERIOD: Duration = Duration::from_mins(1);
+
+/// Runs one move under load on a simulated clock.
+///
+/// # Errors
+///
+/// Returns the error of a part that could not start.
+pub fn simulate_move(experiment: &Experiment, options: Options) -> Result<MoveReport> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .map_err(|e| Error::with_source(Kind::Internal, "start runtime", e))?;
+    runtime.block_on(run(experiment, options))
+}
+
+async fn run(experiment: &Experiment, options: Options) -> Result<MoveReport> {
+    let mut spec = experiment.cluster.clone();
+    spec.bad_versions = bad_versions(options);
+    let traffic = &experiment.traffic;
+    let cluster = InProcess::start(&spec, traffic, Scheduling::Ours, experiment.seed).await?;
+    let cluster = Arc::new(cluster);
+    let is_over = Arc::new(AtomicBool::new(false));
+    let (samples, moved) = tokio::join!(
+        load(&cluster, experiment, &is_over),
+        follow_move(&cluster, experiment, &is_over),
+    );
+    let (status, took) = moved?;
+    let starts = Starts::new(&cluster.engines, &cluster.services);
+    let charges: Vec<_> = cluster.services.iter().flat_map(|s| s.charges()).collect();
+    Ok(MoveReport {
+        status,
+        wanted: if options.bad_version {
+            MoveStatus::TakenBack
+        } else {
+            MoveStatus::Done
+        },
+        took,
+        summary: Summary::new(&samples),
+        checks: check(&samples, &starts, &charges),
+    })
+}
+
+fn bad_versions(options: Options) -> BTreeMap<VersionName, Badness> {
+    if !options.bad_version {
+        return BTreeMap::new();
+    }
+    let fails_often = Badness {
+        fail: 0.3,
+        ..Badness::default()
+    };
+    BTreeMap::from([(VersionName::from(NEW_VERSION), fails_often)])
+}
+
+async fn load(
+    cluster: &Arc<InProcess>,
+    experiment: &Experiment,
+    is_over: &AtomicBool,
+) -> Vec<Sample> {
+    let traffic = &experiment.traffic;
+    let share = experiment.loads.first().copied().unwrap_or(1.0);
+    let per_second = share * experiment.cluster.capacity(traffic);
+    let unix_ms = cluster.unix_ms();
+    let arrivals = Arrivals::new(traffic.clone(), per_second, experiment.seed, unix_ms);
+    let arrivals = arrivals.take_while(|_| !is_over.load(Ordering::Relaxed));
+    let target = Arc::clone(cluster) as Arc<dyn Target>;
+    drive(arrivals, target, cluster.cx.timers.clone(), |_| {}).await
+}
+
+/// Asks for the move and follows it to its end.
+async fn follow_move(
+    cluster: &InProcess,
+    experiment: &Experiment,
+    is_over: &AtomicBool,
+) -> Result<(MoveStatus, Duration)> {
+    let timers = &cluster.cx.timers;
+    let pool = &experiment.cluster.pool;
+    let start = timers.now();
+    let mut tables = document(&cluster.members, &experiment.traffic, Scheduling::Ours);
+    if let Some(row) = tables.pools.iter_mut().find(|p| p.name == *pool) {
+        row.r#move = Some(MoveRow {
+            to: VersionName::from(NEW_VERSION),
+            by: Timestamp::now() + MOVE_DEADLINE,
+            not_before: None,
+        });
+    }
+    cluster.apply(&tables).await?;
+    say(&format!(
+        "pool \"{pool}\" is asked to move to \"{NEW_VERSION}\""
+    ));
+    let client = cluster.platform.client("demo");
+    let mut shown = start;
+    loop {
+        let status = read_move(&*client, pool).await;
+        let now = timers.now();
+        let passed = now.since(start);
+        let is_last = status.is_final() || passed >= MOVE_LIMIT;
+        if is_last || now.since(shown) >= PROGRESS_PERIOD {
+            shown = now;
+            let seconds = passed.as_secs();
+            say(&format!(
+                "{seconds:>4} s simulated: the move is {}",
+                status.as_str()
+            ));
+        }
+        if is_last {
+            is_over.store(true, Ordering::Relaxed);
+            return Ok((status, passed));
+        }
+        timers.after(MOVE_POLL).await;
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod http;
 pub mod load;
 pub mod matrix;
+pub mod overhead;
 pub mod platform;
 pub mod service;
--- a/crates/standins/src/matrix/deployment.rs
+++ b/crates/standins/src/matrix/deployment.rs
@@ -53,6 +53,7 @@
         services: 3,
         service_slots: 4,
         service_latency_ms: 30,
+        bad_versions: std::collections::BTreeMap::new(),
     }
 }
 
