Documentation of Duty names its private constant without a link

Cause: the documentation build denies links from public to private items; it had not been run since the page was written. Change: plain text. After: it builds.

--- a/crates/eelgrassramp/src/membership/duty.rs
+++ b/crates/eelgrassramp/src/membership/duty.rs
@@ -23,9 +23,9 @@
 
 /// One process's share in one duty.
 ///
-/// Each process draws for itself with probability [`WANTED`] ÷ fleet size, so the number of
+/// Each process draws for itself with probability `WANTED` ÷ fleet size, so the number of
 /// readers stays about the same at any fleet size, none is elected, and a dead one is missed
-/// for one epoch at most. A fleet of up to [`WANTED`] processes all have the duty.
+/// for one epoch at most. A fleet of up to `WANTED` processes all have the duty.
 #[derive(Debug, Clone, Copy)]
 pub struct Duty {
     seed: u64,
