Repeatable runs: one wall clock, ordered maps, entries with request ids of their own

The lease holder's decisions and the stand-ins read the system's wall clock, the router and the sidecar iterated over hash maps, and entries that share a seed drew the same request ids. Change: quiet contexts start at a fixed date, decisions read Timers::wall_now, maps that are iterated are ordered, the entry's generator is seeded with its name.

--- a/crates/eelgrassramp/src/entry/core.rs
+++ b/crates/eelgrassramp/src/entry/core.rs
@@ -1,6 +1,6 @@
 //! Everything that an entry decides by, in one place and without I/O.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use rand::rngs::StdRng;
 use tokio::sync::oneshot;
@@ -26,9 +26,9 @@
     pub keys: Keys,
     pub histograms: Histograms,
     pub rng: StdRng,
-    budgets: HashMap<PoolName, Budget>,
+    budgets: BTreeMap<PoolName, Budget>,
     /// Tokens of order-tier work that waits here, by pool.
-    order_pressure: HashMap<PoolName, u64>,
+    order_pressure: BTreeMap<PoolName, u64>,
 }
 
 impl Core {
@@ -44,8 +44,8 @@
             keys: Keys::default(),
             histograms: Histograms::new(settings.limits.accounts),
             rng,
-            budgets: HashMap::new(),
-            order_pressure: HashMap::new(),
+            budgets: BTreeMap::new(),
+            order_pressure: BTreeMap::new(),
         }
     }
 
--- a/crates/eelgrassramp/src/entry/shared.rs
+++ b/crates/eelgrassramp/src/entry/shared.rs
@@ -67,7 +67,7 @@
         tables: Arc<Current>,
         cx: Context,
     ) -> Self {
-        let core = Core::new(&settings, cx.rng("entry"));
+        let core = Core::new(&settings, cx.rng(&format!("entry {}", settings.name)));
         let peers = settings.peers.clone();
         let spread = Spread::start(&cx, Arc::clone(&tables), Arc::clone(&link), peers);
         Self {
--- a/crates/eelgrassramp/src/process.rs
+++ b/crates/eelgrassramp/src/process.rs
@@ -28,13 +28,16 @@
 }
 
 impl Context {
-    /// Creates a context that logs and counts nothing, for tests.
+    /// The wall clock of a quiet context at its start, 2026-01-01T00:00:00Z.
+    pub const QUIET_START: Timestamp = Timestamp::constant(1_767_225_600, 0);
+
+    /// Creates a context that logs and counts nothing, for repeatable runs.
     #[must_use]
     pub fn quiet(seed: u64) -> Self {
         Self {
             log: crate::log::discard(),
             metrics: crate::metrics::discard(),
-            timers: Timers::start_at(Timestamp::now()),
+            timers: Timers::start_at(Self::QUIET_START),
             stop: CancellationToken::new(),
             seed: Some(seed),
         }
--- a/crates/eelgrassramp/src/rollout/task.rs
+++ b/crates/eelgrassramp/src/rollout/task.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jiff::Timestamp;
 use slog::info;
 use slog::warn;
 use tokio::sync::mpsc;
@@ -188,7 +187,7 @@
     fn handle(&mut self, event: MoveEvent) {
         self.note(&event);
         let now = self.cx.timers.now();
-        let actions = self.mover.handle(now, Timestamp::now(), event);
+        let actions = self.mover.handle(now, self.cx.timers.wall_now(), event);
         for action in actions {
             self.perform(action);
         }
--- a/crates/eelgrassramp/src/routing/pool.rs
+++ b/crates/eelgrassramp/src/routing/pool.rs
@@ -1,7 +1,6 @@
 //! One pool as this entry sees it.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::sync::Arc;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -30,11 +29,11 @@
     pub views: Vec<View>,
     pub prefix: PrefixIndex,
     pub turn: usize,
-    by_name: HashMap<EndpointName, usize>,
+    by_name: BTreeMap<EndpointName, usize>,
     /// Positions in `views` of the endpoints that this entry talks to, by version.
     subsets: BTreeMap<VersionName, Vec<usize>>,
     /// The bit of each view in the prefix index.
-    slots: HashMap<EndpointName, usize>,
+    slots: BTreeMap<EndpointName, usize>,
 }
 
 impl PoolView {
@@ -44,9 +43,9 @@
             views: Vec::new(),
             prefix: PrefixIndex::default(),
             turn: 0,
-            by_name: HashMap::new(),
+            by_name: BTreeMap::new(),
             subsets: BTreeMap::new(),
-            slots: HashMap::new(),
+            slots: BTreeMap::new(),
         };
         view.sync(entry, pool);
         view
@@ -54,7 +53,7 @@
 
     /// Takes a new row of the pool table and keeps what is known of endpoints that stay.
     pub fn sync(&mut self, entry: &EntryName, pool: Arc<Pool>) {
-        let mut known: HashMap<EndpointName, View> = self
+        let mut known: BTreeMap<EndpointName, View> = self
             .views
             .drain(..)
             .map(|v| (v.endpoint.name.clone(), v))
--- a/crates/eelgrassramp/src/routing/router.rs
+++ b/crates/eelgrassramp/src/routing/router.rs
@@ -1,6 +1,6 @@
 //! The router's state and its decision.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -139,9 +139,9 @@
     domain: DomainName,
     policy: Policy,
     tables: TableVersion,
-    pools: HashMap<PoolName, PoolView>,
+    pools: BTreeMap<PoolName, PoolView>,
     knowledge: Knowledge,
-    lengths: HashMap<RouteName, OutputLength>,
+    lengths: BTreeMap<RouteName, OutputLength>,
 }
 
 impl Router {
@@ -153,9 +153,9 @@
             domain,
             policy,
             tables: TableVersion::default(),
-            pools: HashMap::new(),
+            pools: BTreeMap::new(),
             knowledge: Knowledge::default(),
-            lengths: HashMap::new(),
+            lengths: BTreeMap::new(),
         }
     }
 
--- a/crates/eelgrassramp/src/sidecar/state.rs
+++ b/crates/eelgrassramp/src/sidecar/state.rs
@@ -1,7 +1,6 @@
 //! Everything that one sidecar knows, behind one lock.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::fmt;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -64,7 +63,7 @@
 pub(super) struct State {
     pub(super) ledger: Ledger,
     pub(super) scheduler: Scheduler,
-    pub(super) jobs: HashMap<RequestId, Job>,
+    pub(super) jobs: BTreeMap<RequestId, Job>,
     pub(super) replay: Replay,
     pub(super) brakes: Brakes,
     pub(super) split: Option<PoolSplit>,
@@ -213,7 +212,7 @@
         Self {
             ledger: Ledger::new(incarnation, started_unix_ms, settings.ledger_limits()),
             scheduler: Scheduler::new(capacity),
-            jobs: HashMap::new(),
+            jobs: BTreeMap::new(),
             replay: Replay::new(settings.replay_bytes),
             brakes: Brakes::default(),
             split: None,
--- a/crates/eelgrassramp/tests/entry/keys.rs
+++ b/crates/eelgrassramp/tests/entry/keys.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrassramp::Context;
 use eelgrassramp::EndpointName;
 use eelgrassramp::Kind;
 use eelgrassramp::Ran;
@@ -54,7 +55,7 @@
     let pool = Arc::make_mut(tables.pools.get_mut("cards").unwrap());
     let before = ports.iter().chain([&gone]);
     pool.former.push(FormerMembers {
-        until: jiff::Timestamp::now(),
+        until: Context::QUIET_START,
         sidecars: before
             .map(|p| (endpoint(*p).name.clone(), sidecar(*p)))
             .collect::<BTreeMap<_, _>>(),
@@ -154,7 +155,7 @@
 async fn a_key_made_after_the_change_needs_no_former_home() {
     let ports = ports_with_last_as_home();
     let fixture = Fixture::with_tables(tables_without(&ports[..3], ports[3])).await;
-    let made = jiff::Timestamp::now().as_millisecond() + 3_600_000;
+    let made = Context::QUIET_START.as_millisecond() + 3_600_000;
     let uuid = format!("{made:012x}7000800000000000beef");
     let req = with_header(request("charges"), "idempotency-key", &uuid);
 
--- a/crates/eelgrassramp/tests/rollout/shell.rs
+++ b/crates/eelgrassramp/tests/rollout/shell.rs
@@ -48,7 +48,6 @@
 use eelgrassramp::wire::RevokeReply;
 use eelgrassramp::wire::TablesSnapshot;
 use googletest::prelude::*;
-use jiff::Timestamp;
 
 use crate::setup;
 use crate::trial::Policy;
@@ -272,7 +271,7 @@
 }
 
 fn tables() -> Tables {
-    let by = Timestamp::now() + Duration::from_hours(10);
+    let by = Context::QUIET_START + Duration::from_hours(10);
     let setup = setup(Fault::None, Weather::default(), Policy::Sequential);
     let mut pool = Pool::clone(&pool(&setup, by));
     for (port, endpoint) in (7_100..).zip(pool.endpoints.values_mut()) {
--- a/crates/eelgrassramp/tests/sidecar/keys.rs
+++ b/crates/eelgrassramp/tests/sidecar/keys.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use eelgrassramp::Context;
 use eelgrassramp::EndpointName;
 use eelgrassramp::Kind;
 use eelgrassramp::PoolName;
@@ -21,7 +22,6 @@
 use eelgrassramp::wire::Frame;
 use futures_util::StreamExt;
 use googletest::prelude::*;
-use jiff::Timestamp;
 
 use super::fixture::BODY;
 use super::fixture::Fixture;
@@ -53,7 +53,7 @@
         names.iter().map(pair).collect()
     };
     let former = FormerMembers {
-        until: Timestamp::now(),
+        until: Context::QUIET_START,
         sidecars: named(former)
             .into_iter()
             .map(|(name, e)| (name, e.sidecar))
@@ -133,7 +133,7 @@
 
 /// Returns a time well after the start of a sidecar that starts now.
 fn later_ms() -> u64 {
-    u64::try_from(Timestamp::now().as_millisecond()).expect("after 1970") + 4_000
+    u64::try_from(Context::QUIET_START.as_millisecond()).expect("after 1970") + 4_000
 }
 
 #[googletest::test]
--- a/crates/standins/src/cluster/in_process.rs
+++ b/crates/standins/src/cluster/in_process.rs
@@ -27,7 +27,6 @@
 use super::settings::KEY_MARGIN;
 use super::settings::entry_settings;
 use super::settings::sidecar_settings;
-use super::settings::unix_ms;
 use super::settings::unused_address;
 use super::spec::ClusterSpec;
 use super::spec::Member;
@@ -46,9 +45,6 @@
 use crate::service::OrderService;
 use crate::service::Settings as ServiceSettings;
 
-/// How far the callers' clocks are behind, since the start itself takes real time.
-const CLOCK_SKEW_MS: u64 = 1_000;
-
 /// Least time between two orders to load a version, for each pool.
 const LOAD_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -71,7 +67,6 @@
     pub faults: Arc<Faults>,
     /// The entries.
     pub entries: Vec<entry::Service>,
-    origin_unix_ms: u64,
 }
 
 impl Drop for InProcess {
@@ -102,13 +97,11 @@
             link: LocalLink::new(),
             faults,
             entries: Vec::new(),
-            origin_unix_ms: 0,
             cx,
         };
         for (i, member) in cluster.members.clone().iter().enumerate() {
             cluster.start_member(spec, member, seed + num::count(i))?;
         }
-        cluster.origin_unix_ms = unix_ms().saturating_sub(CLOCK_SKEW_MS);
         for i in 0..spec.entries {
             cluster.start_entry(i, scheduling)?;
         }
@@ -134,7 +127,8 @@
     /// Returns the Unix time now on the deployment's own clock, in milliseconds.
     #[must_use]
     pub fn unix_ms(&self) -> u64 {
-        self.origin_unix_ms + self.cx.timers.now().as_millis()
+        let now = self.cx.timers.wall_now();
+        u64::try_from(now.as_millisecond()).unwrap_or(0)
     }
 
     /// Waits until all entries can serve.
--- a/crates/standins/src/demo/moving.rs
+++ b/crates/standins/src/demo/moving.rs
@@ -12,7 +12,6 @@
 use eelgrassramp::VersionName;
 use eelgrassramp::tables::MoveRow;
 use jiff::SignedDuration;
-use jiff::Timestamp;
 
 use super::follow::MoveStatus;
 use super::follow::read_move;
@@ -118,7 +117,7 @@
     if let Some(row) = tables.pools.iter_mut().find(|p| p.name == *pool) {
         row.r#move = Some(MoveRow {
             to: VersionName::from(NEW_VERSION),
-            by: Timestamp::now() + MOVE_DEADLINE,
+            by: timers.wall_now() + MOVE_DEADLINE,
             not_before: None,
         });
     }
