--- a/crates/eelgrassramp/tests/rollout/shell.rs
+++ b/crates/eelgrassramp/tests/rollout/shell.rs
@@ -15,6 +15,7 @@
 use eelgrassramp::ObjectVersion;
 use eelgrassramp::PoolName;
 use eelgrassramp::TableVersion;
+use eelgrassramp::lease::Always;
 use eelgrassramp::lease::LeaseTerms;
 use eelgrassramp::link::FrameStream;
 use eelgrassramp::link::LinkError;
@@ -48,7 +49,6 @@
 use eelgrassramp::wire::RevokeReply;
 use eelgrassramp::wire::TablesSnapshot;
 use googletest::prelude::*;
-use jiff::Timestamp;
 
 use crate::setup;
 use crate::trial::Policy;
@@ -272,7 +272,7 @@
 }
 
 fn tables() -> Tables {
-    let by = Timestamp::now() + Duration::from_hours(10);
+    let by = Context::QUIET_START + Duration::from_hours(10);
     let setup = setup(Fault::None, Weather::default(), Policy::Sequential);
     let mut pool = Pool::clone(&pool(&setup, by));
     for (port, endpoint) in (7_100..).zip(pool.endpoints.values_mut()) {
@@ -303,6 +303,7 @@
         api: Arc::<Store>::clone(store),
         tables: Arc::new(Current::new(tables.clone())),
         board: Arc::<Known>::clone(&board),
+        contender: Arc::new(Always),
         terms: LeaseTerms::default(),
         load_interval: rollout::LOAD_INTERVAL,
     };
