--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -3,6 +3,7 @@
 mod demo;
 mod experiments;
 mod overhead;
+mod serve;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -90,6 +91,7 @@
                         .value_parser(value_parser!(u64)),
                 ),
         )
+        .subcommand(serve::command())
         .subcommand(Command::new("list").about("Lists the experiments that come with this program"))
 }
 
@@ -127,6 +129,7 @@
     let ended = match matches.subcommand() {
         Some(("demo", args)) => demo::demo(args),
         Some(("overhead", args)) => overhead::overhead(args),
+        Some(("serve", args)) => serve::serve(args),
         Some(("load", args)) => load(args),
         Some(("run", args)) => run(args),
         _ => {
