One way to start what stands behind a sidecar

Cause: the deployment in one process, the one over loopback and the fault matrix each started engines and plain services by a copy of the same match; the sidecar wrapped Work::cost in a function that only called it. Change: cluster::Backend with start, as_engine and as_handler; the wrapper is gone. Conclusion: behaviour is unchanged.

--- a/crates/eelgrassramp/src/sidecar/speed.rs
+++ b/crates/eelgrassramp/src/sidecar/speed.rs
@@ -8,11 +8,6 @@
 /// Weight of a new measurement in the moving average.
 const SMOOTHING: f64 = 0.1;
 
-/// Returns the predicted cost of a request in output tokens.
-pub(super) fn cost_of(work: Work) -> u64 {
-    work.cost()
-}
-
 /// Returns the actual cost of a request in output tokens; a plain service's call costs 1.
 pub(super) fn cost_used(usage: Usage) -> u64 {
     let used = Work {
--- a/crates/eelgrassramp/src/sidecar/work.rs
+++ b/crates/eelgrassramp/src/sidecar/work.rs
@@ -16,7 +16,6 @@
 
 use super::run::Run;
 use super::scheduler::Action;
-use super::speed::cost_of;
 use super::state::Shared;
 use super::state::State;
 
@@ -73,7 +72,7 @@
             account: msg.account.clone(),
             weight: weight.unwrap_or(1),
             deadline: now + msg.deadline().min(MAX_DEADLINE),
-            cost: cost_of(msg.work),
+            cost: msg.work.cost(),
             non_idempotent: msg.non_idempotent,
         }
     }
--- a/crates/standins/src/cluster.rs
+++ b/crates/standins/src/cluster.rs
@@ -1,5 +1,6 @@
 //! A whole deployment in one process: platform, endpoints, sidecars and entries.
 
+mod backend;
 mod in_process;
 mod link;
 mod loopback;
@@ -7,6 +8,7 @@
 mod spec;
 mod tables;
 
+pub use self::backend::Backend;
 pub use self::in_process::InProcess;
 pub(crate) use self::in_process::to_caller_request;
 pub use self::link::LocalLink;
--- /dev/null
+++ b/crates/standins/src/cluster/backend.rs
@@ -0,0 +1,57 @@
+//! What stands behind a sidecar.
+
+use std::sync::Arc;
+
+use eelgrassramp::Timers;
+use eelgrassramp::engine::Engine;
+
+use super::spec::ClusterSpec;
+use super::spec::Member;
+use crate::engine::ModelEngine;
+use crate::http::Handler;
+use crate::load::ClassKind;
+use crate::service::OrderService;
+
+/// What stands behind a sidecar.
+#[derive(Debug, Clone)]
+pub enum Backend {
+    /// A model engine.
+    Model(Arc<ModelEngine>),
+    /// A plain service.
+    Plain(Arc<OrderService>),
+}
+
+impl Backend {
+    /// Starts what a member of a deployment is.
+    #[must_use]
+    pub fn start(spec: &ClusterSpec, member: &Member, seed: u64, timers: Timers) -> Self {
+        match member.kind {
+            ClassKind::Model => {
+                let settings = spec.engine_settings(member, seed);
+                Self::Model(ModelEngine::start(settings, timers))
+            }
+            ClassKind::Charge => {
+                let settings = spec.service_settings(seed);
+                Self::Plain(OrderService::new(settings, timers))
+            }
+        }
+    }
+
+    /// Returns it as a sidecar in the same process calls it.
+    #[must_use]
+    pub fn as_engine(&self) -> Arc<dyn Engine> {
+        match self {
+            Self::Model(engine) => Arc::clone(engine) as Arc<dyn Engine>,
+            Self::Plain(service) => Arc::clone(service) as Arc<dyn Engine>,
+        }
+    }
+
+    /// Returns it as an HTTP server calls it.
+    #[must_use]
+    pub fn as_handler(&self) -> Arc<dyn Handler> {
+        match self {
+            Self::Model(engine) => Arc::clone(engine) as Arc<dyn Handler>,
+            Self::Plain(service) => Arc::clone(service) as Arc<dyn Handler>,
+        }
+    }
+}
--- a/crates/standins/src/cluster/in_process.rs
+++ b/crates/standins/src/cluster/in_process.rs
@@ -9,7 +9,6 @@
 use eelgrassramp::Incarnation;
 use eelgrassramp::ObjectVersion;
 use eelgrassramp::Result;
-use eelgrassramp::engine::Engine;
 use eelgrassramp::entry;
 use eelgrassramp::lease::Always;
 use eelgrassramp::lease::LeaseTerms;
@@ -24,6 +23,7 @@
 use eelgrassramp::wire::Header;
 use futures_util::StreamExt;
 
+use super::backend::Backend;
 use super::link::LocalLink;
 use super::settings::KEY_MARGIN;
 use super::settings::entry_settings;
@@ -37,7 +37,6 @@
 use crate::fault::Faults;
 use crate::fault::FaultyLink;
 use crate::load::CallRequest;
-use crate::load::ClassKind;
 use crate::load::Reply;
 use crate::load::Target;
 use crate::load::Traffic;
@@ -139,21 +138,12 @@
     }
 
     fn start_member(&mut self, spec: &ClusterSpec, member: &Member, seed: u64) -> Result<()> {
-        let timers = self.cx.timers.clone();
-        let engine: Arc<dyn Engine> = match member.kind {
-            ClassKind::Model => {
-                let settings = spec.engine_settings(member, seed);
-                let engine = ModelEngine::start(settings, timers);
-                self.engines.push(Arc::clone(&engine));
-                engine
-            }
-            ClassKind::Charge => {
-                let settings = spec.service_settings(seed);
-                let service = OrderService::new(settings, timers);
-                self.services.push(Arc::clone(&service));
-                service
-            }
-        };
+        let backend = Backend::start(spec, member, seed, self.cx.timers.clone());
+        let engine = backend.as_engine();
+        match backend {
+            Backend::Model(engine) => self.engines.push(engine),
+            Backend::Plain(service) => self.services.push(service),
+        }
         let settings = sidecar_settings(spec, member, unused_address(), None)?;
         let cx = Context {
             seed: Some(seed),
--- a/crates/standins/src/cluster/loopback.rs
+++ b/crates/standins/src/cluster/loopback.rs
@@ -23,6 +23,7 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
+use super::backend::Backend;
 use super::settings::KEY_MARGIN;
 use super::settings::entry_settings;
 use super::settings::sidecar_settings;
@@ -32,7 +33,6 @@
 use crate::engine::ModelEngine;
 use crate::http::Handler;
 use crate::http::serve;
-use crate::load::ClassKind;
 use crate::load::get;
 use crate::platform::Platform;
 use crate::platform::Settings as PlatformSettings;
@@ -183,21 +183,13 @@
         member: &Member,
         seed: u64,
     ) -> Arc<dyn Handler> {
-        let timers = self.cx.timers.clone();
-        match member.kind {
-            ClassKind::Model => {
-                let settings = spec.engine_settings(member, seed);
-                let engine = ModelEngine::start(settings, timers);
-                self.engines.push(Arc::clone(&engine));
-                engine
-            }
-            ClassKind::Charge => {
-                let settings = spec.service_settings(seed);
-                let service = OrderService::new(settings, timers);
-                self.services.push(Arc::clone(&service));
-                service
-            }
+        let backend = Backend::start(spec, member, seed, self.cx.timers.clone());
+        let handler = backend.as_handler();
+        match backend {
+            Backend::Model(engine) => self.engines.push(engine),
+            Backend::Plain(service) => self.services.push(service),
         }
+        handler
     }
 
     async fn start_entry(&mut self, i: usize) -> Result<()> {
--- a/crates/standins/src/matrix/checks.rs
+++ b/crates/standins/src/matrix/checks.rs
@@ -9,8 +9,8 @@
 use eelgrassramp::RequestId;
 use eelgrassramp::Tier;
 
-use super::scene::Backend;
 use super::scene::Scene;
+use crate::cluster::Backend;
 use crate::load::Outcome;
 use crate::load::Sample;
 
--- a/crates/standins/src/matrix/scene.rs
+++ b/crates/standins/src/matrix/scene.rs
@@ -16,7 +16,6 @@
 use eelgrassramp::RequestId;
 use eelgrassramp::Result;
 use eelgrassramp::TableVersion;
-use eelgrassramp::engine::Engine;
 use eelgrassramp::entry;
 use eelgrassramp::link::SidecarLink;
 use eelgrassramp::num;
@@ -37,6 +36,7 @@
 use super::probe::Probe;
 use super::step::Step;
 use super::store::GatedStore;
+use crate::cluster::Backend;
 use crate::cluster::ClusterSpec;
 use crate::cluster::LocalLink;
 use crate::cluster::Member;
@@ -46,17 +46,14 @@
 use crate::cluster::sidecar_settings;
 use crate::cluster::to_caller_request;
 use crate::cluster::unused_address;
-use crate::engine::ModelEngine;
 use crate::fault::Faults;
 use crate::fault::FaultyLink;
 use crate::load::CallRequest;
-use crate::load::ClassKind;
 use crate::load::Reply;
 use crate::load::Target;
 use crate::load::Traffic;
 use crate::platform::Platform;
 use crate::platform::Settings as PlatformSettings;
-use crate::service::OrderService;
 
 /// Time after which a caller sends an order with its key again.
 const CALLER_RETRY: Duration = Duration::from_secs(1);
@@ -93,24 +90,6 @@
     pub engine: Backend,
 }
 
-/// What stands behind a sidecar.
-#[derive(Debug, Clone)]
-pub enum Backend {
-    /// A model engine.
-    Model(Arc<ModelEngine>),
-    /// A plain service.
-    Plain(Arc<OrderService>),
-}
-
-impl Backend {
-    fn as_engine(&self) -> Arc<dyn Engine> {
-        match self {
-            Self::Model(engine) => Arc::clone(engine) as Arc<dyn Engine>,
-            Self::Plain(service) => Arc::clone(service) as Arc<dyn Engine>,
-        }
-    }
-}
-
 /// The tables in force in one process.
 #[derive(Debug, Clone)]
 pub struct InForce {
@@ -400,17 +379,7 @@
     }
 
     fn start_backend(&self, member: &Member, seed: u64) -> Backend {
-        let timers = self.cx.timers.clone();
-        let backend = match member.kind {
-            ClassKind::Model => {
-                let settings = self.spec.engine_settings(member, seed);
-                Backend::Model(ModelEngine::start(settings, timers))
-            }
-            ClassKind::Charge => {
-                let settings = self.spec.service_settings(seed);
-                Backend::Plain(OrderService::new(settings, timers))
-            }
-        };
+        let backend = Backend::start(&self.spec, member, seed, self.cx.timers.clone());
         self.lock().backends.push(backend.clone());
         backend
     }
