--- /dev/null
+++ b/crates/direct/src/dispatcher.rs
@@ -0,0 +1,430 @@
+//! Decides which waiting request goes to which endpoint, and when.
+//!
+//! The decisions answer the load in which engines of unlike speed are shared by entries that
+//! see each other's work late: endpoints get no more than they can run at once, free places go
+//! to the most urgent request, and fast endpoints come first. There is no I/O here; the owner
+//! passes the time and the events. See `docs/design/platform.md`.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassramp::EndpointName;
+use eelgrassramp::Monotonic;
+use eelgrassramp::PoolName;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::endpoint::Endpoint;
+use crate::endpoint::ReportedLoad;
+use crate::lane::Lane;
+use crate::lane::Outcome;
+use crate::line::Class;
+use crate::line::Line;
+use crate::line::Waiting;
+
+/// Predicted cost of reading one prompt token, in milliseconds at slowness 1.
+const PROMPT_TOKEN_MS: f64 = 0.02;
+
+/// Predicted cost of making one answer token, in milliseconds at slowness 1.
+const OUTPUT_TOKEN_MS: f64 = 3.0;
+
+/// Predicted cost of a request that declares no tokens, in milliseconds at slowness 1.
+const PLAIN_MS: f64 = 30.0;
+
+/// How much longer an answer takes at an endpoint whose places are all taken.
+const FULL_PENALTY: f64 = 0.5;
+
+/// How much an endpoint in another failure domain counts as slower, for bytes between domains.
+const OTHER_DOMAIN_PENALTY: f64 = 1.1;
+
+/// Time without any answer after which an endpoint counts as stalled.
+const STALL: Duration = Duration::from_millis(1_500);
+
+/// Time in which the moving averages of failures halve.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
+
+/// Most of a pool's endpoints that may be avoided at once.
+const MAX_AVOIDED_SHARE: f64 = 0.5;
+
+/// Shortest time after which a refused caller may come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Longest time after which a refused caller may come back.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
+
+/// What the dispatcher has to know of a request.
+#[derive(Debug, Clone)]
+pub struct Ticket {
+    /// Identity within this process.
+    pub seq: u64,
+    /// The pool that serves it.
+    pub pool: PoolName,
+    /// Its class.
+    pub class: Class,
+    /// When it arrived.
+    pub arrived: Monotonic,
+    /// Until when it can be started and still be on time.
+    pub start_by: Monotonic,
+    /// When it is refused if it has not been started.
+    pub give_up_at: Monotonic,
+    /// Tokens in the prompt and most tokens in the answer, when declared.
+    pub tokens: Option<(u64, u64)>,
+    /// Endpoints that had it already.
+    pub tried: Vec<EndpointName>,
+}
+
+impl Ticket {
+    /// Returns the predicted time at slowness 1, in milliseconds.
+    #[must_use]
+    pub fn predicted_ms(&self) -> f64 {
+        self.tokens.map_or(PLAIN_MS, |(prompt, output)| {
+            PROMPT_TOKEN_MS * prompt as f64 + OUTPUT_TOKEN_MS * output as f64
+        })
+    }
+}
+
+/// What became of a request that asked for an endpoint.
+#[derive(Debug)]
+pub enum Placed {
+    /// It goes to this endpoint now.
+    Granted(Grant),
+    /// It waits; the owner hears of it later.
+    Waits,
+    /// It is refused; the caller may come back after the time given.
+    Refused(Duration),
+}
+
+/// The right to send one request to one endpoint.
+#[derive(Debug, Clone)]
+pub struct Grant {
+    /// The request's identity within this process.
+    pub seq: u64,
+    /// The endpoint.
+    pub endpoint: Arc<Endpoint>,
+    /// Requests at the endpoint, this one included, as far as known.
+    pub busy: u32,
+    /// The endpoint's slowness as far as known.
+    pub slowness: f64,
+    /// Whether the endpoint was chosen although it is avoided.
+    pub avoided: bool,
+}
+
+/// What the owner has to do after an event.
+#[derive(Debug)]
+pub enum Wake {
+    /// The request may be sent.
+    Granted(u64, Grant),
+    /// The request has waited as long as it may.
+    Expired(u64, Duration),
+}
+
+#[derive(Debug)]
+struct PoolState {
+    lanes: BTreeMap<EndpointName, Lane>,
+    line: Line<Ticket>,
+    faded_at: Monotonic,
+}
+
+/// The pools of one entry.
+#[derive(Debug)]
+pub struct Dispatcher {
+    domain: Box<str>,
+    /// Distinguishes this entry's order of preference among equal endpoints.
+    preference: u64,
+    overcommit: u32,
+    pools: HashMap<PoolName, PoolState>,
+    /// Other entries that can be heard.
+    peers: u32,
+    peers_known: bool,
+}
+
+impl Dispatcher {
+    /// Creates a dispatcher for the entry named `entry` in `domain`.
+    #[must_use]
+    pub fn new(entry: &str, domain: &str) -> Self {
+        Self {
+            domain: domain.into(),
+            preference: xxh3_64(entry.as_bytes()),
+            overcommit: 0,
+            pools: HashMap::new(),
+            peers: 0,
+            peers_known: false,
+        }
+    }
+
+    /// Replaces the known endpoints; those that stay keep what was learned of them.
+    pub fn set_endpoints(&mut self, endpoints: &[Arc<Endpoint>]) {
+        for pool in self.pools.values_mut() {
+            pool.retain(endpoints);
+        }
+        for endpoint in endpoints {
+            let pool = self.pool_mut(&endpoint.pool);
+            let slowness = pool.median_slowness();
+            let lane = pool.lanes.entry(endpoint.name.clone());
+            lane.or_insert_with(|| Lane::new(Arc::clone(endpoint), slowness))
+                .update(Arc::clone(endpoint));
+        }
+    }
+
+    /// Takes in what the other entries have in flight, and how many of them were heard.
+    pub fn set_others(
+        &mut self,
+        now: Monotonic,
+        peers: u32,
+        in_flight: &HashMap<EndpointName, u32>,
+    ) {
+        self.peers = peers;
+        self.peers_known = true;
+        for lane in self.pools.values_mut().flat_map(|p| p.lanes.values_mut()) {
+            let others = in_flight.get(&lane.endpoint().name).copied();
+            lane.set_others(now, others.unwrap_or(0));
+        }
+    }
+
+    /// Returns this entry's requests in flight by endpoint.
+    #[must_use]
+    pub fn in_flight(&self) -> Vec<(EndpointName, u32)> {
+        let lanes = self.pools.values().flat_map(|p| p.lanes.iter());
+        lanes
+            .map(|(name, lane)| (name.clone(), lane.in_flight()))
+            .filter(|(_, n)| *n > 0)
+            .collect()
+    }
+
+    /// Returns how many endpoints of `pool` take new work.
+    #[must_use]
+    pub fn ready_endpoints(&self, pool: &PoolName) -> usize {
+        let pool = self.pools.get(pool);
+        pool.map_or(0, |p| p.lanes.values().filter(|l| l.is_ready()).count())
+    }
+
+    /// Returns how many requests wait for `pool`.
+    #[must_use]
+    pub fn waiting(&self, pool: &PoolName) -> usize {
+        self.pools.get(pool).map_or(0, |p| p.line.len())
+    }
+
+    /// Returns how many requests wait for any pool.
+    #[must_use]
+    pub fn all_waiting(&self) -> usize {
+        self.pools.values().map(|p| p.line.len()).sum()
+    }
+
+    /// Asks for an endpoint for a new request.
+    pub fn enter(&mut self, now: Monotonic, ticket: Ticket) -> Placed {
+        let view = self.view();
+        let pool = self.pool_mut(&ticket.pool);
+        let estimate = pool.line.arrive(now, &ticket.class);
+        let class = ticket.class.clone();
+        if pool.line.is_empty()
+            && let Some(grant) = pool.place(now, &ticket, &view)
+        {
+            pool.line.count_grant(now, &class);
+            return Placed::Granted(grant);
+        }
+        if now + estimate > ticket.give_up_at {
+            return Placed::Refused(retry_after(estimate, &ticket));
+        }
+        let waiting = Waiting {
+            seq: ticket.seq,
+            arrived: ticket.arrived,
+            start_by: ticket.start_by,
+            give_up_at: ticket.give_up_at,
+            item: ticket,
+        };
+        pool.line.push(&class, waiting);
+        Placed::Waits
+    }
+
+    /// Takes a waiting request out.
+    pub fn leave(&mut self, ticket: &Ticket) {
+        if let Some(pool) = self.pools.get_mut(&ticket.pool) {
+            pool.line.remove(&ticket.class, ticket.seq);
+        }
+    }
+
+    /// Notes that the head of an answer came.
+    pub fn answered(
+        &mut self,
+        now: Monotonic,
+        endpoint: &Endpoint,
+        seq: u64,
+        load: Option<ReportedLoad>,
+    ) {
+        if let Some(lane) = self.lane_mut(endpoint) {
+            lane.answered(now, seq);
+            if let Some(load) = load {
+                lane.report(now, load);
+            }
+        }
+    }
+
+    /// Notes the end of a dispatch.
+    pub fn ended(&mut self, now: Monotonic, endpoint: &Endpoint, seq: u64, outcome: Outcome) {
+        if let Some(lane) = self.lane_mut(endpoint) {
+            lane.end(now, seq, outcome);
+        }
+    }
+
+    /// Hands free places to those whose turn it is, and refuses those that waited too long.
+    pub fn pump(&mut self, now: Monotonic) -> Vec<Wake> {
+        let view = self.view();
+        let mut wakes = Vec::new();
+        for pool in self.pools.values_mut() {
+            if pool.line.is_empty() {
+                continue;
+            }
+            for waiting in pool.line.take_expired(now) {
+                let waited = now.since(waiting.arrived);
+                let wait = retry_after(waited, &waiting.item);
+                wakes.push(Wake::Expired(waiting.seq, wait));
+            }
+            pool.hand_out(now, &view, &mut wakes);
+        }
+        wakes
+    }
+
+    /// Lets failures fade; called regularly.
+    pub fn tick(&mut self, now: Monotonic) {
+        for pool in self.pools.values_mut() {
+            let age = now.since(pool.faded_at).as_secs_f64();
+            let factor = 0.5_f64.powf(age / FAILURE_HALF_LIFE.as_secs_f64());
+            pool.faded_at = now;
+            for lane in pool.lanes.values_mut() {
+                lane.fade_failures(factor);
+            }
+        }
+    }
+
+    fn view(&self) -> View {
+        View {
+            domain: self.domain.clone(),
+            preference: self.preference,
+            overcommit: self.overcommit,
+        }
+    }
+
+    fn pool_mut(&mut self, name: &PoolName) -> &mut PoolState {
+        self.pools
+            .entry(name.clone())
+            .or_insert_with(|| PoolState {
+                lanes: BTreeMap::new(),
+                line: Line::default(),
+                faded_at: Monotonic::ZERO,
+            })
+    }
+
+    fn lane_mut(&mut self, endpoint: &Endpoint) -> Option<&mut Lane> {
+        let lane = self.pools.get_mut(&endpoint.pool)?;
+        let lane = lane.lanes.get_mut(&endpoint.name)?;
+        lane.endpoint()
+            .is_same_incarnation(endpoint)
+            .then_some(lane)
+    }
+}
+
+/// What is the same for all pools of an entry.
+#[derive(Debug)]
+struct View {
+    domain: Box<str>,
+    preference: u64,
+    overcommit: u32,
+}
+
+impl PoolState {
+    fn retain(&mut self, endpoints: &[Arc<Endpoint>]) {
+        self.lanes.retain(|_, lane| {
+            endpoints
+                .iter()
+                .any(|e| e.is_same_incarnation(lane.endpoint()))
+        });
+    }
+
+    fn median_slowness(&self) -> f64 {
+        let mut all: Vec<f64> = self.lanes.values().map(Lane::slowness).collect();
+        all.sort_by(f64::total_cmp);
+        all.get(all.len() / 2).copied().unwrap_or(1.0)
+    }
+
+    fn mean_failures(&self) -> f64 {
+        let n = self.lanes.len().max(1) as f64;
+        self.lanes.values().map(Lane::failures).sum::<f64>() / n
+    }
+
+    fn hand_out(&mut self, now: Monotonic, view: &View, wakes: &mut Vec<Wake>) {
+        while let Some(first) = self.line.next_class(now) {
+            let mut classes = vec![first.clone()];
+            classes.extend(self.line.classes_after(&first));
+            let granted = classes
+                .into_iter()
+                .find_map(|class| self.grant_front(now, &class, view));
+            match granted {
+                Some(wake) => wakes.push(wake),
+                None => return,
+            }
+        }
+    }
+
+    fn grant_front(&mut self, now: Monotonic, class: &Class, view: &View) -> Option<Wake> {
+        let ticket = self.line.front(class)?.item.clone();
+        let grant = self.place(now, &ticket, view)?;
+        self.line.pop(now, class);
+        Some(Wake::Granted(ticket.seq, grant))
+    }
+
+    /// Chooses the endpoint that is predicted to answer first among those with a free place.
+    fn place(&mut self, now: Monotonic, ticket: &Ticket, view: &View) -> Option<Grant> {
+        let failures = self.mean_failures();
+        let ready = || self.lanes.values().filter(|l| l.is_ready());
+        let avoided = |lane: &Lane| lane.is_avoided(now, failures) || lane.is_stalled(now, STALL);
+        let total = ready().count() as f64;
+        let is_trusted = ready().filter(|l| avoided(l)).count() as f64 <= MAX_AVOIDED_SHARE * total;
+        let usable = ready()
+            .filter(|lane| !ticket.tried.contains(&lane.endpoint().name))
+            .filter(|lane| lane.busy(now) < lane.slots() + view.overcommit)
+            .filter(|lane| !(is_trusted && avoided(lane)));
+        let best = usable
+            .map(|lane| (view.score(now, lane), lane))
+            .min_by(|(a, _), (b, _)| a.total_cmp(b))
+            .map(|(_, lane)| lane.endpoint().name.clone())?;
+        let lane = self.lanes.get_mut(&best)?;
+        let avoided = lane.is_avoided(now, failures);
+        lane.start(now, ticket.seq);
+        Some(Grant {
+            seq: ticket.seq,
+            endpoint: Arc::clone(lane.endpoint()),
+            busy: lane.busy(now),
+            slowness: lane.slowness(),
+            avoided,
+        })
+    }
+}
+
+impl View {
+    /// Returns the predicted slowness of one more request at an endpoint.
+    ///
+    /// Entries prefer different ones among nearly equal endpoints, so that two of them seldom
+    /// take the same free place.
+    fn score(&self, now: Monotonic, lane: &Lane) -> f64 {
+        let endpoint = lane.endpoint();
+        let fullness = f64::from(lane.busy(now)) / f64::from(lane.slots());
+        let distance = if endpoint.domain.as_str() == &*self.domain {
+            1.0
+        } else {
+            OTHER_DOMAIN_PENALTY
+        };
+        let draw = xxh3_64(endpoint.name.as_str().as_bytes()) ^ self.preference;
+        let spread = 1.0 + (draw % 64) as f64 / 1_000.0;
+        lane.slowness() * (1.0 + FULL_PENALTY * fullness) * distance * spread
+    }
+}
+
+/// Chooses when a refused caller may come back: when about half of what waits has been served.
+///
+/// The request's number spreads callers that were refused together.
+fn retry_after(wait: Duration, ticket: &Ticket) -> Duration {
+    let spread = 0.75 + (ticket.seq % 8) as f64 / 16.0;
+    let wait = wait.mul_f64(0.5 * spread);
+    wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+}
--- /dev/null
+++ b/crates/direct/src/endpoint.rs
@@ -0,0 +1,61 @@
+//! An endpoint as the platform's registry announces it.
+
+use std::net::SocketAddr;
+
+use eelgrassramp::DomainName;
+use eelgrassramp::EndpointName;
+use eelgrassramp::PoolName;
+use eelgrassramp::VersionName;
+
+/// Whether an endpoint takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointState {
+    /// It takes new work.
+    Ready,
+    /// It is leaving: it finishes what it has and gets nothing new.
+    Draining,
+}
+
+/// One incarnation of an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Endpoint {
+    /// Identity that the endpoint itself checks on each request.
+    pub name: EndpointName,
+    /// When it started, in milliseconds since the Unix epoch; a restart under the same name
+    /// changes it.
+    pub started_ms: Option<u64>,
+    /// The pool that it serves.
+    pub pool: PoolName,
+    /// Where it accepts connections; reused by others after it has gone.
+    pub address: SocketAddr,
+    /// The failure domain that it runs in.
+    pub domain: DomainName,
+    /// The version of its software.
+    pub version: VersionName,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: EndpointState,
+}
+
+impl Endpoint {
+    /// Tells whether `other` is the same incarnation at the same address.
+    #[must_use]
+    pub fn is_same_incarnation(&self, other: &Self) -> bool {
+        self.name == other.name
+            && self.started_ms == other.started_ms
+            && self.address == other.address
+            && self.pool == other.pool
+    }
+}
+
+/// Load that an endpoint tells about itself with an answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait inside it.
+    pub waiting: u32,
+    /// Requests that it can run at once.
+    pub slots: u32,
+}
--- /dev/null
+++ b/crates/direct/src/entry.rs
@@ -0,0 +1,484 @@
+//! The state that all requests of one entry share.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use arc_swap::ArcSwapOption;
+use eelgrassramp::AccountName;
+use eelgrassramp::Context;
+use eelgrassramp::DomainName;
+use eelgrassramp::EndpointName;
+use eelgrassramp::EntryName;
+use eelgrassramp::Kind;
+use eelgrassramp::PoolName;
+use rand::Rng;
+use rand::rngs::StdRng;
+use slog::info;
+use tokio::sync::oneshot;
+
+use crate::connections::Connections;
+use crate::deployment::Account;
+use crate::deployment::Deployment;
+use crate::dispatcher::Dispatcher;
+use crate::dispatcher::Grant;
+use crate::dispatcher::Placed;
+use crate::dispatcher::Ticket;
+use crate::dispatcher::Wake;
+use crate::endpoint::Endpoint;
+use crate::endpoint::ReportedLoad;
+use crate::lane::Outcome;
+use crate::meters::Gauge;
+use crate::meters::Meters;
+use crate::protocol::CallerProtocol;
+use crate::protocol::EndpointProtocol;
+use crate::quota::Quotas;
+use crate::refusal::Refusal;
+use crate::retry::RetryBudget;
+use crate::retry::RetryLimits;
+
+/// Time between two looks at what waits and at failures that fade.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Ticks between two sweeps of idle connections.
+const TICKS_PER_SWEEP: u64 = 20;
+
+/// What an entry is started with.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// Name of the entry, unique among entries.
+    pub name: EntryName,
+    /// Failure domain that it runs in.
+    pub domain: DomainName,
+    /// Distinguishes starts of the same entry.
+    pub incarnation: u64,
+}
+
+/// One entry: what it knows, what waits and what is in flight.
+pub struct Entry {
+    cx: Context,
+    identity: Identity,
+    caller_protocol: Arc<dyn CallerProtocol>,
+    endpoint_protocol: Arc<dyn EndpointProtocol>,
+    retry_limits: RetryLimits,
+    deployment: ArcSwapOption<Deployment>,
+    endpoints: ArcSwap<Vec<Arc<Endpoint>>>,
+    connections: Arc<Connections>,
+    meters: Arc<Meters>,
+    seq: AtomicU64,
+    state: Mutex<State>,
+}
+
+struct State {
+    dispatcher: Dispatcher,
+    waiters: HashMap<u64, oneshot::Sender<Result<Grant, Duration>>>,
+    budgets: HashMap<PoolName, RetryBudget>,
+    quotas: Quotas,
+    rng: StdRng,
+    /// Requests in flight by entry, as the other entries told.
+    others: HashMap<EntryName, Vec<(EndpointName, u32)>>,
+}
+
+impl Entry {
+    /// Creates an entry that knows no tables and no endpoints yet.
+    #[must_use]
+    pub fn new(
+        cx: &Context,
+        identity: Identity,
+        caller_protocol: Arc<dyn CallerProtocol>,
+        endpoint_protocol: Arc<dyn EndpointProtocol>,
+        retry_limits: RetryLimits,
+        meters: Arc<Meters>,
+    ) -> Arc<Self> {
+        let dispatcher = Dispatcher::new(identity.name.as_str(), identity.domain.as_str());
+        Arc::new(Self {
+            cx: cx.clone(),
+            caller_protocol,
+            endpoint_protocol,
+            retry_limits,
+            deployment: ArcSwapOption::empty(),
+            endpoints: ArcSwap::default(),
+            connections: Connections::new(cx),
+            meters,
+            seq: AtomicU64::new(1),
+            state: Mutex::new(State {
+                dispatcher,
+                waiters: HashMap::new(),
+                budgets: HashMap::new(),
+                quotas: Quotas::default(),
+                rng: cx.rng("entry"),
+                others: HashMap::new(),
+            }),
+            identity,
+        })
+    }
+
+    /// Returns the services of the process.
+    #[must_use]
+    pub const fn cx(&self) -> &Context {
+        &self.cx
+    }
+
+    /// Returns who this entry is.
+    #[must_use]
+    pub const fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
+    /// Returns the counters of the process.
+    #[must_use]
+    pub const fn meters(&self) -> &Arc<Meters> {
+        &self.meters
+    }
+
+    /// Returns the tables in force.
+    #[must_use]
+    pub fn deployment(&self) -> Option<Arc<Deployment>> {
+        self.deployment.load_full()
+    }
+
+    /// Returns the version of the tables in force; 0 means none.
+    #[must_use]
+    pub fn deployment_version(&self) -> u64 {
+        self.deployment.load().as_ref().map_or(0, |d| d.version())
+    }
+
+    /// Puts tables in force unless newer ones are; tells whether it did.
+    pub fn set_deployment(&self, deployment: Deployment) -> bool {
+        let version = deployment.version();
+        let before = self.deployment_version();
+        if version <= before {
+            return false;
+        }
+        self.deployment.store(Some(Arc::new(deployment)));
+        info!(self.cx.log, "tables in force"; "version" => version, "before" => before);
+        true
+    }
+
+    /// Replaces the known endpoints.
+    pub fn set_endpoints(&self, endpoints: Vec<Arc<Endpoint>>) {
+        self.log_changes(&endpoints);
+        self.lock().dispatcher.set_endpoints(&endpoints);
+        self.connections.sweep(&endpoints);
+        self.endpoints.store(Arc::new(endpoints));
+        self.pump();
+    }
+
+    /// Returns the known endpoints.
+    #[must_use]
+    pub fn endpoints(&self) -> Arc<Vec<Arc<Endpoint>>> {
+        self.endpoints.load_full()
+    }
+
+    /// Tells whether requests can be served: tables and endpoints are known, and no stop began.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let is_known = self.deployment.load().is_some() && !self.endpoints.load().is_empty();
+        is_known && !self.cx.stop.is_cancelled()
+    }
+
+    /// Looks regularly at what waits, until the process ends.
+    pub async fn tick(self: Arc<Self>) {
+        let mut ticks = self.cx.timers.every(TICK);
+        let mut n = 0_u64;
+        loop {
+            ticks.tick().await;
+            n += 1;
+            let now = self.cx.timers.now();
+            let is_waiting = {
+                let mut state = self.lock();
+                state.dispatcher.tick(now);
+                state.dispatcher.all_waiting() > 0
+            };
+            if is_waiting {
+                self.pump();
+            }
+            if n.is_multiple_of(TICKS_PER_SWEEP) {
+                self.connections.sweep(&self.endpoints());
+            }
+        }
+    }
+
+    /// Returns values of the moment for the metrics page.
+    #[must_use]
+    pub fn gauges(&self) -> Vec<Gauge> {
+        let state = self.lock();
+        let in_flight = state.dispatcher.in_flight();
+        let in_flight: u32 = in_flight.iter().map(|(_, n)| n).sum();
+        let gauge = |name, value| Gauge { name, value };
+        vec![
+            gauge("tables_version", self.deployment_version() as f64),
+            gauge("endpoints", self.endpoints.load().len() as f64),
+            gauge("waiting", state.dispatcher.all_waiting() as f64),
+            gauge("in_flight", f64::from(in_flight)),
+            gauge("entries", f64::from(state.quotas.entries())),
+        ]
+    }
+
+    /// Returns what the other entries have to know.
+    #[must_use]
+    pub fn usage(&self) -> Usage {
+        let state = self.lock();
+        Usage {
+            in_flight: state.dispatcher.in_flight(),
+            admitted: state.quotas.admitted(),
+        }
+    }
+
+    /// Takes in what another entry told of itself.
+    pub fn hear(&self, entry: &EntryName, incarnation: u64, usage: Usage) {
+        let now = self.cx.timers.now();
+        let mut state = self.lock();
+        state
+            .quotas
+            .hear(now, entry, incarnation, &usage.admitted);
+        state.others.insert(entry.clone(), usage.in_flight);
+        state.count_others(now);
+    }
+
+    /// Notes that another entry exists.
+    pub fn expect_peer(&self, entry: &EntryName) {
+        let now = self.cx.timers.now();
+        self.lock().quotas.expect(now, entry);
+    }
+
+    /// Notes that another entry cannot be heard; its work no longer counts as in flight.
+    pub fn lose_peer(&self, entry: &EntryName) {
+        let now = self.cx.timers.now();
+        let mut state = self.lock();
+        if state.others.remove(entry).is_some() {
+            state.count_others(now);
+        }
+    }
+
+    /// Forgets another entry that has ended.
+    pub fn forget_peer(&self, entry: &EntryName) {
+        self.lose_peer(entry);
+        self.lock().quotas.forget(entry);
+    }
+
+    pub(crate) fn caller_protocol(&self) -> &dyn CallerProtocol {
+        &*self.caller_protocol
+    }
+
+    pub(crate) fn endpoint_protocol(&self) -> &dyn EndpointProtocol {
+        &*self.endpoint_protocol
+    }
+
+    pub(crate) fn connections(&self) -> &Connections {
+        &self.connections
+    }
+
+    pub(crate) fn next_seq(&self) -> u64 {
+        self.seq.fetch_add(1, Ordering::Relaxed)
+    }
+
+    pub(crate) fn draw(&self) -> u32 {
+        self.lock().rng.next_u32()
+    }
+
+    pub(crate) fn all_waiting(&self) -> usize {
+        self.lock().dispatcher.all_waiting()
+    }
+
+    /// Counts a new request for `pool`, on which the budget of repeats is founded.
+    pub(crate) fn count_request(&self, pool: &PoolName) {
+        let now = self.cx.timers.now();
+        let mut state = self.lock();
+        let budget = state.budgets.entry(pool.clone()).or_default();
+        budget.count_request(now, &self.retry_limits);
+    }
+
+    /// Spends one repeat, when one is left.
+    pub(crate) fn try_repeat(&self, pool: &PoolName) -> bool {
+        let now = self.cx.timers.now();
+        let mut state = self.lock();
+        let entries = state.quotas.entries();
+        let budget = state.budgets.entry(pool.clone()).or_default();
+        budget.try_spend(now, &self.retry_limits, entries)
+    }
+
+    /// Takes a request's units from its account's quota.
+    pub(crate) fn take_quota(&self, account: &Account, units: f64) -> Result<(), Refusal> {
+        let Some(quota) = &account.quota else {
+            return Ok(());
+        };
+        let now = self.cx.timers.now();
+        let taken = self.lock().quotas.take(now, &account.name, quota, units);
+        taken.map_err(|wait| {
+            let detail = format!("account {:?} asked for {units} units", account.name);
+            Refusal::later(Kind::QuotaExceeded, detail, wait)
+        })
+    }
+
+    /// Gives units back that a request took and no endpoint saw.
+    pub(crate) fn give_back_quota(&self, account: &AccountName, units: f64) {
+        self.lock().quotas.give_back(account, units);
+    }
+
+    /// Waits for an endpoint for a request.
+    pub(crate) async fn acquire(self: &Arc<Self>, ticket: Ticket) -> Result<Grant, Refusal> {
+        let now = self.cx.timers.now();
+        let give_up_at = ticket.give_up_at;
+        let (tx, rx) = oneshot::channel();
+        {
+            let mut state = self.lock();
+            match state.dispatcher.enter(now, ticket.clone()) {
+                Placed::Granted(grant) => return Ok(grant),
+                Placed::Refused(wait) => return Err(self.overloaded(&ticket.pool, wait)),
+                Placed::Waits => state.waiters.insert(ticket.seq, tx),
+            };
+        }
+        let pool = ticket.pool.clone();
+        let mut place = Place {
+            entry: self,
+            ticket,
+            rx,
+            is_settled: false,
+        };
+        let granted = tokio::select! {
+            biased;
+            granted = &mut place.rx => granted,
+            () = self.cx.timers.until(give_up_at) => {
+                // A grant that crosses the timeout is used.
+                self.pump();
+                (&mut place.rx).await
+            }
+        };
+        place.is_settled = true;
+        match granted {
+            Ok(Ok(grant)) => Ok(grant),
+            Ok(Err(wait)) => Err(self.overloaded(&pool, wait)),
+            Err(_) => Err(self.overloaded(&pool, Duration::from_secs(1))),
+        }
+    }
+
+    fn overloaded(&self, pool: &PoolName, wait: Duration) -> Refusal {
+        let detail = format!("no endpoint of pool {pool:?} was free in time");
+        Refusal::later(Kind::Overloaded, detail, wait)
+    }
+
+    pub(crate) fn answered(&self, endpoint: &Endpoint, seq: u64, load: Option<ReportedLoad>) {
+        let now = self.cx.timers.now();
+        self.lock().dispatcher.answered(now, endpoint, seq, load);
+    }
+
+    pub(crate) fn ended(&self, endpoint: &Endpoint, seq: u64, outcome: Outcome) {
+        let now = self.cx.timers.now();
+        self.lock().dispatcher.ended(now, endpoint, seq, outcome);
+        self.pump();
+    }
+
+    /// Hands free endpoints to those that wait.
+    fn pump(&self) {
+        let now = self.cx.timers.now();
+        let mut state = self.lock();
+        loop {
+            let wakes = state.dispatcher.pump(now);
+            if wakes.is_empty() {
+                return;
+            }
+            for wake in wakes {
+                state.wake(now, wake);
+            }
+        }
+    }
+
+    fn log_changes(&self, endpoints: &[Arc<Endpoint>]) {
+        let before = self.endpoints.load();
+        for new in endpoints {
+            if !before.iter().any(|old| old == new) {
+                info!(self.cx.log, "endpoint known"; "endpoint" => new.name.as_str(),
+                    "pool" => new.pool.as_str(), "address" => %new.address,
+                    "state" => ?new.state, "version" => new.version.as_str());
+            }
+        }
+        for old in before.iter() {
+            if !endpoints.iter().any(|new| new.is_same_incarnation(old)) {
+                info!(self.cx.log, "endpoint gone"; "endpoint" => old.name.as_str(),
+                    "pool" => old.pool.as_str(), "address" => %old.address);
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .expect("no code panics while it holds the state")
+    }
+}
+
+impl State {
+    fn wake(&mut self, now: eelgrassramp::Monotonic, wake: Wake) {
+        let (seq, result) = match wake {
+            Wake::Granted(seq, grant) => (seq, Ok(grant)),
+            Wake::Expired(seq, wait) => (seq, Err(wait)),
+        };
+        let Some(tx) = self.waiters.remove(&seq) else {
+            return;
+        };
+        if let Err(Ok(grant)) = tx.send(result) {
+            // The caller left while the place was handed over.
+            let outcome = Outcome::Neutral;
+            self.dispatcher.ended(now, &grant.endpoint, seq, outcome);
+        }
+    }
+
+    fn count_others(&mut self, now: eelgrassramp::Monotonic) {
+        let mut sum: HashMap<EndpointName, u32> = HashMap::new();
+        for (endpoint, n) in self.others.values().flatten() {
+            *sum.entry(endpoint.clone()).or_default() += n;
+        }
+        let peers = u32::try_from(self.others.len()).unwrap_or(u32::MAX);
+        self.dispatcher.set_others(now, peers, &sum);
+    }
+}
+
+/// What one entry tells the others.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Usage {
+    /// Requests in flight by endpoint.
+    pub in_flight: Vec<(EndpointName, u32)>,
+    /// Units admitted by account since the entry's start.
+    pub admitted: Vec<(AccountName, f64)>,
+}
+
+/// A place in the line; dropping it leaves the line.
+struct Place<'a> {
+    entry: &'a Arc<Entry>,
+    ticket: Ticket,
+    rx: oneshot::Receiver<Result<Grant, Duration>>,
+    is_settled: bool,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        if self.is_settled {
+            return;
+        }
+        {
+            let mut state = self.entry.lock();
+            state.dispatcher.leave(&self.ticket);
+            state.waiters.remove(&self.ticket.seq);
+        }
+        // A grant may have been handed over that was not received any more.
+        if let Ok(Ok(grant)) = self.rx.try_recv() {
+            let outcome = Outcome::Neutral;
+            self.entry.ended(&grant.endpoint, grant.seq, outcome);
+        }
+    }
+}
+
+impl fmt::Debug for Entry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Entry")
+            .field("identity", &self.identity)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/direct/src/flight.rs
@@ -0,0 +1,128 @@
+//! One dispatch in flight: accounts for it until it ends, however it ends.
+
+use std::sync::Arc;
+
+use eelgrassramp::Error;
+use eelgrassramp::Monotonic;
+
+use crate::dispatcher::Grant;
+use crate::endpoint::Endpoint;
+use crate::endpoint::ReportedLoad;
+use crate::entry::Entry;
+use crate::journal::Ending;
+use crate::journal::Story;
+use crate::lane::Outcome;
+
+/// Time between two events at slowness 1, in milliseconds.
+const EVENT_MS: f64 = 15.0;
+
+/// Time of a plain request at slowness 1, in milliseconds.
+const PLAIN_MS: f64 = 30.0;
+
+/// Pieces of a stream from which its pace is told.
+const MIN_PIECES: u32 = 4;
+
+/// A dispatch that holds a place at an endpoint; dropping it frees the place.
+pub(crate) struct Flight {
+    entry: Arc<Entry>,
+    endpoint: Arc<Endpoint>,
+    seq: u64,
+    started: Monotonic,
+    answered: Option<Monotonic>,
+    pieces: u32,
+    bytes: u64,
+    is_stream: bool,
+    is_over: bool,
+    pub(crate) story: Story,
+}
+
+impl Flight {
+    pub(crate) fn new(
+        entry: Arc<Entry>,
+        grant: &Grant,
+        seq: u64,
+        is_stream: bool,
+        story: Story,
+    ) -> Self {
+        let started = entry.cx().timers.now();
+        Self {
+            entry,
+            endpoint: Arc::clone(&grant.endpoint),
+            seq,
+            started,
+            answered: None,
+            pieces: 0,
+            bytes: 0,
+            is_stream,
+            is_over: false,
+            story,
+        }
+    }
+
+    pub(crate) const fn endpoint(&self) -> &Arc<Endpoint> {
+        &self.endpoint
+    }
+
+    /// Notes that the head of the answer came.
+    pub(crate) fn answered(&mut self, load: Option<ReportedLoad>) {
+        let now = self.entry.cx().timers.now();
+        self.answered = Some(now);
+        self.entry.answered(&self.endpoint, self.seq, load);
+    }
+
+    /// Counts a piece of the answer.
+    pub(crate) const fn count_bytes(&mut self, n: usize) {
+        self.pieces += 1;
+        self.bytes += n as u64;
+    }
+
+    /// Notes that the whole answer came; `is_failure` tells that it is the endpoint's failure.
+    pub(crate) fn finish(&mut self, is_failure: bool) {
+        let outcome = if is_failure {
+            Outcome::Failed
+        } else {
+            Outcome::Served {
+                slowness: self.slowness(),
+            }
+        };
+        self.end(outcome);
+        self.story.ended(&self.entry, Ending::Answered {
+            bytes: self.bytes,
+            pieces: self.pieces,
+        });
+    }
+
+    /// Notes that the dispatch ended without a whole answer.
+    pub(crate) fn fail(&mut self, outcome: Outcome, cause: &Error) {
+        self.end(outcome);
+        self.story.attempt_failed(&self.entry, &self.endpoint, cause);
+    }
+
+    fn slowness(&self) -> f64 {
+        let now = self.entry.cx().timers.now();
+        if !self.is_stream {
+            return now.since(self.started).as_secs_f64() * 1_000.0 / PLAIN_MS;
+        }
+        let Some(answered) = self.answered.filter(|_| self.pieces >= MIN_PIECES) else {
+            return f64::NAN;
+        };
+        let ms = now.since(answered).as_secs_f64() * 1_000.0;
+        ms / f64::from(self.pieces) / EVENT_MS
+    }
+
+    fn end(&mut self, outcome: Outcome) {
+        if !self.is_over {
+            self.is_over = true;
+            self.entry.ended(&self.endpoint, self.seq, outcome);
+        }
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.end(Outcome::Neutral);
+            self.story.ended(&self.entry, Ending::CallerGone);
+        }
+    }
+}
--- /dev/null
+++ b/crates/direct/src/forward.rs
@@ -0,0 +1,398 @@
+//! Takes one request from a caller to an endpoint and its answer back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eelgrassramp::AccountName;
+use eelgrassramp::EndpointName;
+use eelgrassramp::Error;
+use eelgrassramp::Kind;
+use eelgrassramp::Monotonic;
+use eelgrassramp::PoolName;
+use http::HeaderMap;
+use http::Method;
+use http::Uri;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+
+use crate::connections::Connection;
+use crate::deployment::Route;
+use crate::deployment::RouteKind;
+use crate::dispatcher::Grant;
+use crate::dispatcher::Ticket;
+use crate::endpoint::Endpoint;
+use crate::entry::Entry;
+use crate::events::EventSplitter;
+use crate::flight::Flight;
+use crate::journal::Story;
+use crate::lane::Outcome;
+use crate::line::Class;
+use crate::protocol::AnswerHead;
+use crate::protocol::Call;
+use crate::protocol::Dispatch;
+use crate::protocol::Verdict;
+use crate::refusal::Refusal;
+use crate::relay::Relay;
+
+/// Sends that an endpoint proved not to have run, after which a request is refused.
+const MAX_UNRUN_SENDS: u32 = 3;
+
+/// Part of the objective that an answer that may be repeated is awaited before it is sent again.
+const REPEAT_AFTER_SHARE: f64 = 2.0;
+
+/// Part of the caller's patience for which a request waits for a free endpoint.
+const WAIT_SHARE: f64 = 0.3;
+
+/// Part of the objective that is kept for the endpoint to answer in.
+const ANSWER_SHARE: f64 = 0.3;
+
+/// Time that a request is kept when neither the caller nor the route says so.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A request that has been read and checked.
+#[derive(Clone)]
+pub(crate) struct Forwarding {
+    pub(crate) entry: Arc<Entry>,
+    pub(crate) call: Call,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) route: Arc<Route>,
+    pub(crate) pool: PoolName,
+    pub(crate) rank: u32,
+    pub(crate) account: Option<AccountName>,
+    pub(crate) arrived: Monotonic,
+    pub(crate) ends_at: Monotonic,
+    pub(crate) runs: u32,
+    pub(crate) sends: u32,
+    pub(crate) tried: Vec<EndpointName>,
+    pub(crate) last_event: Option<u64>,
+    pub(crate) story: Story,
+}
+
+/// How one send failed.
+struct Failure {
+    error: Error,
+    outcome: Outcome,
+    /// Whether it is proved that the request did not run.
+    is_unrun: bool,
+    /// Whether bytes reached the endpoint, so that the send counts as an arrival.
+    has_arrived: bool,
+}
+
+impl Forwarding {
+    /// Returns when a request that arrived at `arrived` ends at the latest.
+    pub(crate) fn end_of(arrived: Monotonic, call: &Call, route: &Route) -> Monotonic {
+        let limit = call.patience.map_or(route.timeout, |p| p.min(route.timeout));
+        let limit = if limit.is_zero() { DEFAULT_TIMEOUT } else { limit };
+        arrived + limit
+    }
+
+    /// Sends the request until an endpoint answers it or it cannot be sent again.
+    pub(crate) async fn run(mut self) -> Result<Response<Relay>, Refusal> {
+        loop {
+            let grant = match self.acquire().await {
+                Ok(grant) => grant,
+                Err(refusal) => return Err(refusal.after_runs(self.runs)),
+            };
+            let attempt = self.sends + 1;
+            self.story.dispatched(&self.entry, &grant, attempt);
+            let failure = match self.send(&grant).await {
+                Ok(resp) => return Ok(resp),
+                Err(failure) => failure,
+            };
+            self.after(&grant, failure)?;
+        }
+    }
+
+    /// Continues a broken stream after the event `last`; `None` when that is not possible.
+    pub(crate) async fn resume(mut self: Box<Self>, last: Option<u64>) -> Option<Relay> {
+        if self.runs >= self.route.max_attempts || !self.may_repeat() {
+            return None;
+        }
+        if last.is_some() {
+            self.last_event = last;
+        }
+        match self.run().await {
+            Ok(resp) if resp.status().is_success() => Some(resp.into_body()),
+            Ok(_) | Err(_) => None,
+        }
+    }
+
+    async fn acquire(&self) -> Result<Grant, Refusal> {
+        let now = self.entry.cx().timers.now();
+        let patience = self.ends_at.since(self.arrived);
+        let give_up_at = self.arrived + patience.mul_f64(WAIT_SHARE);
+        let ticket = Ticket {
+            seq: self.entry.next_seq(),
+            pool: self.pool.clone(),
+            class: Class {
+                rank: self.rank,
+                route: self.route.name.clone(),
+            },
+            arrived: now,
+            start_by: self.arrived + self.route.objective.mul_f64(1.0 - ANSWER_SHARE),
+            give_up_at: give_up_at.max(now + Duration::from_millis(20)),
+            tokens: self
+                .call
+                .prompt_tokens
+                .map(|prompt| (prompt, self.call.output_tokens.unwrap_or(0))),
+            tried: self.tried.clone(),
+        };
+        self.entry.acquire(ticket).await
+    }
+
+    /// Decides whether the request can be sent again after a failed send.
+    fn after(&mut self, grant: &Grant, failure: Failure) -> Result<(), Refusal> {
+        let Failure {
+            error,
+            outcome: _,
+            is_unrun,
+            has_arrived,
+        } = failure;
+        self.tried.push(grant.endpoint.name.clone());
+        self.sends += 1;
+        self.runs += u32::from(!is_unrun);
+        let may_run_again = is_unrun || self.is_repeatable();
+        let is_left = self.runs < self.route.max_attempts.max(1) && self.sends < MAX_UNRUN_SENDS;
+        if !may_run_again || !is_left || self.time_left().is_zero() {
+            return Err(Refusal::from(error).after_runs(self.runs));
+        }
+        if has_arrived && !self.may_repeat() {
+            return Err(Refusal::from(error).after_runs(self.runs));
+        }
+        Ok(())
+    }
+
+    fn is_repeatable(&self) -> bool {
+        match self.route.kind {
+            RouteKind::Idempotent => true,
+            RouteKind::NonIdempotent => false,
+            RouteKind::Streaming { resumable } => resumable,
+        }
+    }
+
+    fn may_repeat(&self) -> bool {
+        self.entry.try_repeat(&self.pool)
+    }
+
+    fn time_left(&self) -> Duration {
+        self.ends_at.since(self.entry.cx().timers.now())
+    }
+
+    async fn send(&mut self, grant: &Grant) -> Result<Response<Relay>, Failure> {
+        let is_stream = matches!(self.route.kind, RouteKind::Streaming { .. });
+        let story = self.story.clone();
+        let entry = Arc::clone(&self.entry);
+        let mut flight = Flight::new(entry, grant, grant.seq, is_stream, story);
+        let result = self.exchange(grant, &mut flight).await;
+        match result {
+            Ok((resp, head, connection)) => Ok(self.accept(resp, head, connection, flight)),
+            Err(failure) => {
+                flight.fail(failure.outcome, &failure.error);
+                Err(failure)
+            }
+        }
+    }
+
+    /// Sends the request and reads the head of the answer.
+    async fn exchange(
+        &self,
+        grant: &Grant,
+        flight: &mut Flight,
+    ) -> Result<(Response<Incoming>, AnswerHead, Connection), Failure> {
+        let endpoint = &*grant.endpoint;
+        let connection = self.entry.connections().get(endpoint).await;
+        let mut connection = connection.map_err(|e| unreachable(endpoint, e))?;
+        let time_left = self.time_left();
+        if time_left.is_zero() {
+            return Err(Failure {
+                error: Error::new(Kind::DeadlineExpired, "no time is left to send the request"),
+                outcome: Outcome::Neutral,
+                is_unrun: true,
+                has_arrived: false,
+            });
+        }
+        let req = self.request(endpoint, time_left);
+        let sent = connection.sender().try_send_request(req);
+        let limit = self.answer_limit(time_left);
+        let sent = self.entry.cx().timers.limit(limit, sent).await;
+        let resp = match sent {
+            None => return Err(silent(endpoint, limit)),
+            Some(Err(mut e)) => {
+                let is_unrun = e.take_message().is_some();
+                return Err(broken(endpoint, e.into_error(), is_unrun));
+            }
+            Some(Ok(resp)) => resp,
+        };
+        self.judge(endpoint, resp, connection, flight)
+    }
+
+    fn judge(
+        &self,
+        endpoint: &Endpoint,
+        resp: Response<Incoming>,
+        connection: Connection,
+        flight: &mut Flight,
+    ) -> Result<(Response<Incoming>, AnswerHead, Connection), Failure> {
+        let (parts, body) = resp.into_parts();
+        let head = self.entry.endpoint_protocol().decode(&parts, &self.call);
+        let name = &endpoint.name;
+        let failure = match head.verdict {
+            Verdict::Genuine => {
+                flight.answered(head.load);
+                let is_failure = parts.status.is_server_error();
+                if !is_failure || !self.is_worth_repeating() {
+                    return Ok((Response::from_parts(parts, body), head, connection));
+                }
+                Failure {
+                    error: Error::new(
+                        Kind::OutcomeUnknown,
+                        format!("endpoint {name} answered with status {}", parts.status),
+                    ),
+                    outcome: Outcome::Failed,
+                    is_unrun: false,
+                    has_arrived: true,
+                }
+            }
+            Verdict::NotRun { misdirected } => {
+                flight.answered(head.load);
+                Failure {
+                    error: Error::new(
+                        Kind::Overloaded,
+                        format!("endpoint {name} refused with status {}", parts.status),
+                    ),
+                    outcome: if misdirected {
+                        Outcome::Unreachable
+                    } else {
+                        Outcome::Refused
+                    },
+                    is_unrun: true,
+                    has_arrived: true,
+                }
+            }
+            Verdict::Foreign => Failure {
+                error: Error::new(
+                    Kind::OutcomeUnknown,
+                    format!("endpoint {name} sent an answer that belongs to no request"),
+                ),
+                outcome: Outcome::Lost,
+                is_unrun: false,
+                has_arrived: true,
+            },
+        };
+        Err(failure)
+    }
+
+    /// Tells whether the endpoint's own failure is answered by another try.
+    fn is_worth_repeating(&self) -> bool {
+        self.is_repeatable()
+            && self.runs + 1 < self.route.max_attempts
+            && self.time_left() > self.route.objective / 4
+    }
+
+    fn accept(
+        &mut self,
+        resp: Response<Incoming>,
+        head: AnswerHead,
+        connection: Connection,
+        flight: Flight,
+    ) -> Response<Relay> {
+        self.runs += 1;
+        self.sends += 1;
+        self.tried.push(flight.endpoint().name.clone());
+        let (mut parts, body) = resp.into_parts();
+        let is_success = parts.status.is_success();
+        self.entry
+            .endpoint_protocol()
+            .strip_connection_headers(&mut parts.headers);
+        let is_stream = matches!(self.route.kind, RouteKind::Streaming { .. }) && is_success;
+        let can_resume = is_stream && self.is_repeatable();
+        let timers = self.entry.cx().timers.clone();
+        let ends_at = self.ends_at;
+        let relay = Relay {
+            entry: Arc::clone(&self.entry),
+            body,
+            connection: Some(connection),
+            flight,
+            keep_alive: head.keep_alive,
+            deadline: Box::pin(async move { timers.until(ends_at).await }),
+            events: is_stream.then(EventSplitter::default),
+            forwarding: can_resume.then(|| Box::new(self.clone())),
+            is_failure: parts.status.is_server_error(),
+        };
+        Response::from_parts(parts, relay)
+    }
+
+    fn request(
+        &self,
+        endpoint: &Endpoint,
+        time_left: Duration,
+    ) -> Request<Full<Bytes>> {
+        let dispatch = Dispatch {
+            endpoint,
+            account: self.account.as_ref(),
+            time_left,
+            last_event: self.last_event,
+        };
+        let protocol = self.entry.endpoint_protocol();
+        let mut req = Request::new(Full::new(self.body.clone()));
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = self.uri.clone();
+        *req.headers_mut() = protocol.encode(&self.headers, &dispatch);
+        req
+    }
+
+    /// Returns how long the head of an answer is awaited.
+    fn answer_limit(&self, time_left: Duration) -> Duration {
+        if self.is_repeatable() && self.runs + 1 < self.route.max_attempts {
+            let limit = self.route.objective.mul_f64(REPEAT_AFTER_SHARE);
+            limit.min(time_left)
+        } else {
+            time_left
+        }
+    }
+}
+
+fn unreachable(endpoint: &Endpoint, e: std::io::Error) -> Failure {
+    let detail = format!("endpoint {} at {}", endpoint.name, endpoint.address);
+    Failure {
+        error: Error::with_source(Kind::ConnectFailed, detail, e),
+        outcome: Outcome::Unreachable,
+        is_unrun: true,
+        has_arrived: false,
+    }
+}
+
+fn silent(endpoint: &Endpoint, limit: Duration) -> Failure {
+    let detail = format!(
+        "endpoint {} gave no answer in {} ms",
+        endpoint.name,
+        limit.as_millis()
+    );
+    Failure {
+        error: Error::new(Kind::DeadlineExceeded, detail),
+        outcome: Outcome::Lost,
+        is_unrun: false,
+        has_arrived: true,
+    }
+}
+
+fn broken(endpoint: &Endpoint, e: hyper::Error, is_unrun: bool) -> Failure {
+    let detail = format!("endpoint {}", endpoint.name);
+    let kind = if is_unrun {
+        Kind::ConnectFailed
+    } else {
+        Kind::OutcomeUnknown
+    };
+    Failure {
+        error: Error::with_source(kind, detail, e),
+        outcome: Outcome::Lost,
+        is_unrun,
+        has_arrived: !is_unrun,
+    }
+}
--- /dev/null
+++ b/crates/direct/src/lane.rs
@@ -0,0 +1,235 @@
+//! What an entry knows of one endpoint: work in flight, speed and health.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassramp::Monotonic;
+
+use crate::endpoint::Endpoint;
+use crate::endpoint::EndpointState;
+use crate::endpoint::ReportedLoad;
+
+/// Weight of a new sample in moving averages of speed.
+const SPEED_SMOOTHING: f64 = 0.15;
+
+/// Weight of a new sample in the moving average of failures.
+const FAILURE_SMOOTHING: f64 = 0.2;
+
+/// Moving average of failures above which an endpoint is avoided.
+const AVOID_FAILURES: f64 = 0.3;
+
+/// How far an endpoint's failures must stand above its pool's before it is avoided.
+const AVOID_RATIO: f64 = 2.0;
+
+/// Time for which an endpoint is avoided after its first failure to connect or to answer.
+const FIRST_EJECTION: Duration = Duration::from_millis(400);
+
+/// Longest time for which an endpoint is avoided before it is tried again.
+const MAX_EJECTION: Duration = Duration::from_secs(3);
+
+/// Age after which an endpoint's own report of its load no longer counts.
+const REPORT_LIFETIME: Duration = Duration::from_millis(400);
+
+/// Age after which the work that other entries told of no longer counts.
+const PEER_LIFETIME: Duration = Duration::from_millis(1_000);
+
+/// How one dispatch ended, as far as the endpoint's health is concerned.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Outcome {
+    /// The whole answer came; the ratio is time taken ÷ time predicted at speed 1.
+    Served {
+        /// Time taken ÷ time predicted.
+        slowness: f64,
+    },
+    /// The endpoint refused and proved that it did not run the request.
+    Refused,
+    /// The endpoint answered with a failure of its own.
+    Failed,
+    /// The connection broke, or no answer came.
+    Lost,
+    /// No connection could be made.
+    Unreachable,
+    /// The caller left, or the request was moved; this tells nothing about the endpoint.
+    Neutral,
+}
+
+/// One endpoint as seen by this entry.
+#[derive(Debug)]
+pub struct Lane {
+    endpoint: Arc<Endpoint>,
+    in_flight: u32,
+    /// Requests that await the head of an answer, oldest first.
+    unanswered: Vec<(u64, Monotonic)>,
+    others: u32,
+    others_at: Option<Monotonic>,
+    report: Option<(Monotonic, ReportedLoad, u32)>,
+    slowness: f64,
+    failures: f64,
+    strikes: u32,
+    ejected_until: Monotonic,
+    heard_at: Monotonic,
+}
+
+impl Lane {
+    /// Creates the lane of an endpoint of which nothing is known yet.
+    #[must_use]
+    pub const fn new(endpoint: Arc<Endpoint>, slowness: f64) -> Self {
+        Self {
+            endpoint,
+            in_flight: 0,
+            unanswered: Vec::new(),
+            others: 0,
+            others_at: None,
+            report: None,
+            slowness,
+            failures: 0.0,
+            strikes: 0,
+            ejected_until: Monotonic::ZERO,
+            heard_at: Monotonic::ZERO,
+        }
+    }
+
+    /// Returns the endpoint.
+    #[must_use]
+    pub const fn endpoint(&self) -> &Arc<Endpoint> {
+        &self.endpoint
+    }
+
+    /// Replaces what the registry says of the same incarnation.
+    pub fn update(&mut self, endpoint: Arc<Endpoint>) {
+        self.endpoint = endpoint;
+    }
+
+    /// Tells whether the endpoint takes new work.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.endpoint.state == EndpointState::Ready
+    }
+
+    /// Returns this entry's requests in flight.
+    #[must_use]
+    pub const fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns the moving average of time taken ÷ time predicted.
+    #[must_use]
+    pub const fn slowness(&self) -> f64 {
+        self.slowness
+    }
+
+    /// Returns the moving average of failures.
+    #[must_use]
+    pub const fn failures(&self) -> f64 {
+        self.failures
+    }
+
+    /// Counts a dispatch.
+    pub fn start(&mut self, now: Monotonic, seq: u64) {
+        self.in_flight += 1;
+        self.unanswered.push((seq, now));
+    }
+
+    /// Notes that the head of an answer came.
+    pub fn answered(&mut self, now: Monotonic, seq: u64) {
+        self.unanswered.retain(|(s, _)| *s != seq);
+        self.heard_at = now;
+    }
+
+    /// Notes the end of a dispatch.
+    pub fn end(&mut self, now: Monotonic, seq: u64, outcome: Outcome) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.unanswered.retain(|(s, _)| *s != seq);
+        match outcome {
+            Outcome::Served { slowness } => self.serve(now, slowness),
+            Outcome::Refused => self.heard_at = now,
+            Outcome::Failed => {
+                self.heard_at = now;
+                self.fail();
+            }
+            Outcome::Lost => {
+                self.fail();
+                self.eject(now);
+            }
+            Outcome::Unreachable => self.eject(now),
+            Outcome::Neutral => {}
+        }
+    }
+
+    /// Takes in the load that the endpoint told with an answer.
+    pub fn report(&mut self, now: Monotonic, load: ReportedLoad) {
+        self.report = Some((now, load, self.in_flight));
+    }
+
+    /// Takes in how many requests the other entries have in flight there.
+    pub const fn set_others(&mut self, now: Monotonic, others: u32) {
+        self.others = others;
+        self.others_at = Some(now);
+    }
+
+    /// Estimates the requests that the endpoint has from all entries.
+    ///
+    /// What peers told counts while it is fresh, corrected by the endpoint's own report.
+    #[must_use]
+    pub fn busy(&self, now: Monotonic) -> u32 {
+        let told = self.others_at.filter(|at| now.since(*at) < PEER_LIFETIME);
+        let others = told.map_or(0, |_| self.others);
+        let seen = self
+            .report
+            .filter(|(at, ..)| now.since(*at) < REPORT_LIFETIME)
+            .map_or(0, |(_, load, own)| {
+                (load.running + load.waiting).saturating_sub(own)
+            });
+        let others = if told.is_some() {
+            others
+        } else {
+            others.max(seen)
+        };
+        self.in_flight + others
+    }
+
+    /// Returns requests that the endpoint runs at once.
+    #[must_use]
+    pub fn slots(&self) -> u32 {
+        self.endpoint.slots.max(1)
+    }
+
+    /// Tells whether the endpoint is left alone for now, given its pool's failures.
+    #[must_use]
+    pub fn is_avoided(&self, now: Monotonic, pool_failures: f64) -> bool {
+        let fails = self.failures > AVOID_FAILURES.max(AVOID_RATIO * pool_failures);
+        self.ejected_until > now || fails
+    }
+
+    /// Tells whether requests have awaited an answer for longer than `limit` with nothing heard.
+    #[must_use]
+    pub fn is_stalled(&self, now: Monotonic, limit: Duration) -> bool {
+        let oldest = self.unanswered.iter().map(|(_, at)| *at).min();
+        oldest.is_some_and(|at| now.since(at.max(self.heard_at)) > limit)
+    }
+
+    /// Lets the moving average of failures fade, so that an avoided endpoint is tried again.
+    pub fn fade_failures(&mut self, factor: f64) {
+        self.failures *= factor;
+    }
+
+    fn serve(&mut self, now: Monotonic, slowness: f64) {
+        self.heard_at = now;
+        self.strikes = 0;
+        self.ejected_until = Monotonic::ZERO;
+        self.failures -= FAILURE_SMOOTHING * self.failures;
+        if slowness.is_finite() && slowness > 0.0 {
+            self.slowness += SPEED_SMOOTHING * (slowness - self.slowness);
+        }
+    }
+
+    fn fail(&mut self) {
+        self.failures += FAILURE_SMOOTHING * (1.0 - self.failures);
+    }
+
+    fn eject(&mut self, now: Monotonic) {
+        let wait = FIRST_EJECTION * 2_u32.pow(self.strikes.min(4));
+        self.strikes += 1;
+        self.ejected_until = self.ejected_until.max(now + wait.min(MAX_EJECTION));
+    }
+}
--- /dev/null
+++ b/crates/direct/src/lib.rs
@@ -0,0 +1,35 @@
+//! Entries that dispatch straight to endpoints, where no sidecar stands before them.
+//!
+//! It is the form of eelgrassramp for platforms that announce endpoints in a registry and whose
+//! endpoints check by themselves whom a request is meant for. Decisions are state machines
+//! without I/O ([`dispatcher`], [`line`], [`lane`], [`quota`], [`retry`]); the rest is the shell
+//! around them. What a platform's callers and endpoints say is decoded behind [`protocol`].
+//! Start with `docs/design/platform.md`.
+
+pub mod connections;
+pub mod deployment;
+pub mod dispatcher;
+pub mod endpoint;
+mod entry;
+pub mod events;
+mod flight;
+mod forward;
+mod handle;
+mod journal;
+pub mod lane;
+pub mod line;
+mod meters;
+pub mod protocol;
+pub mod quota;
+mod refusal;
+mod relay;
+pub mod retry;
+mod server;
+
+pub use self::entry::Entry;
+pub use self::entry::Identity;
+pub use self::entry::Usage;
+pub use self::meters::Gauge;
+pub use self::meters::Meters;
+pub use self::server::Listen;
+pub use self::server::serve;
--- /dev/null
+++ b/crates/direct/src/line.rs
@@ -0,0 +1,250 @@
+//! The waiting line of one pool: strict urgency with a guaranteed share for each class.
+//!
+//! It answers the load in which more work arrives than the pool's endpoints can run at once.
+//! Endpoints admit in order of arrival, so the order is kept here, where it can still be
+//! chosen. See `docs/design/platform.md`, "Where work waits".
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use eelgrassramp::Monotonic;
+use eelgrassramp::RouteName;
+
+/// Share of its arrivals that a class is served before more urgent classes go first.
+pub const FLOOR_SHARE: f64 = 0.55;
+
+/// Time over which arrivals and grants are remembered for [`FLOOR_SHARE`] and for estimates.
+const MEMORY: Duration = Duration::from_secs(4);
+
+/// Requests that a class may have waiting before its estimate of the wait is used.
+const UNESTIMATED_LENGTH: usize = 4;
+
+/// Requests that are ordered among themselves by arrival: one route at one urgency.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Class {
+    /// Urgency; 0 is the most urgent.
+    pub rank: u32,
+    /// The route.
+    pub route: RouteName,
+}
+
+/// A request in the line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Waiting<T> {
+    /// Position; unique, and grows with arrival.
+    pub seq: u64,
+    /// When it arrived.
+    pub arrived: Monotonic,
+    /// Until when it can be started and still be on time.
+    pub start_by: Monotonic,
+    /// When it is refused if it has not been started.
+    pub give_up_at: Monotonic,
+    /// What the owner keeps with it.
+    pub item: T,
+}
+
+/// A quantity that fades away over [`MEMORY`].
+#[derive(Debug, Clone, Copy, Default)]
+struct Faded {
+    value: f64,
+    at: Monotonic,
+}
+
+impl Faded {
+    fn add(&mut self, now: Monotonic, x: f64) {
+        self.value = self.at(now) + x;
+        self.at = now;
+    }
+
+    fn at(&self, now: Monotonic) -> f64 {
+        let age = now.since(self.at).as_secs_f64();
+        self.value * (-age / MEMORY.as_secs_f64()).exp()
+    }
+}
+
+#[derive(Debug)]
+struct ClassLine<T> {
+    on_time: VecDeque<Waiting<T>>,
+    late: VecDeque<Waiting<T>>,
+    arrivals: Faded,
+    grants: Faded,
+}
+
+impl<T> Default for ClassLine<T> {
+    fn default() -> Self {
+        Self {
+            on_time: VecDeque::new(),
+            late: VecDeque::new(),
+            arrivals: Faded::default(),
+            grants: Faded::default(),
+        }
+    }
+}
+
+impl<T> ClassLine<T> {
+    fn len(&self) -> usize {
+        self.on_time.len() + self.late.len()
+    }
+
+    fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Moves requests that can no longer be on time behind those that can.
+    fn sort_out_late(&mut self, now: Monotonic) {
+        while self.on_time.front().is_some_and(|w| w.start_by < now) {
+            self.late.extend(self.on_time.pop_front());
+        }
+    }
+
+    fn share_served(&self, now: Monotonic) -> f64 {
+        let arrivals = self.arrivals.at(now);
+        if arrivals < 1.0 {
+            1.0
+        } else {
+            self.grants.at(now) / arrivals
+        }
+    }
+
+    fn front(&self) -> Option<&Waiting<T>> {
+        self.on_time.front().or_else(|| self.late.front())
+    }
+
+    fn pop(&mut self) -> Option<Waiting<T>> {
+        self.on_time.pop_front().or_else(|| self.late.pop_front())
+    }
+
+    fn remove(&mut self, seq: u64) -> Option<Waiting<T>> {
+        for list in [&mut self.on_time, &mut self.late] {
+            if let Some(at) = list.iter().position(|w| w.seq == seq) {
+                return list.remove(at);
+            }
+        }
+        None
+    }
+
+    fn take_expired(&mut self, now: Monotonic, expired: &mut Vec<Waiting<T>>) {
+        for list in [&mut self.on_time, &mut self.late] {
+            if list.iter().all(|w| w.give_up_at > now) {
+                continue;
+            }
+            let (kept, gone) = std::mem::take(list)
+                .into_iter()
+                .partition(|w| w.give_up_at > now);
+            *list = kept;
+            let gone: VecDeque<_> = gone;
+            expired.extend(gone);
+        }
+    }
+}
+
+/// The waiting line of one pool.
+#[derive(Debug)]
+pub struct Line<T> {
+    classes: BTreeMap<Class, ClassLine<T>>,
+}
+
+impl<T> Default for Line<T> {
+    fn default() -> Self {
+        Self {
+            classes: BTreeMap::new(),
+        }
+    }
+}
+
+impl<T> Line<T> {
+    /// Counts the arrival of a request and returns how long it would wait.
+    ///
+    /// The estimate is the number of its class that wait, divided by the rate at which the class
+    /// was served of late; it is zero while only a few wait.
+    pub fn arrive(&mut self, now: Monotonic, class: &Class) -> Duration {
+        let line = self.classes.entry(class.clone()).or_default();
+        line.arrivals.add(now, 1.0);
+        if line.len() < UNESTIMATED_LENGTH {
+            return Duration::ZERO;
+        }
+        let per_second = line.grants.at(now) / MEMORY.as_secs_f64();
+        let wait = line.len() as f64 / per_second.max(0.1);
+        Duration::from_secs_f64(wait.min(60.0))
+    }
+
+    /// Adds a request that has arrived.
+    pub fn push(&mut self, class: &Class, waiting: Waiting<T>) {
+        let line = self.classes.entry(class.clone()).or_default();
+        line.on_time.push_back(waiting);
+    }
+
+    /// Counts a request that was started without waiting.
+    pub fn count_grant(&mut self, now: Monotonic, class: &Class) {
+        let line = self.classes.entry(class.clone()).or_default();
+        line.grants.add(now, 1.0);
+    }
+
+    /// Returns the class whose turn it is.
+    ///
+    /// A class that was served less than [`FLOOR_SHARE`] of its arrivals goes first, the most
+    /// neglected before the others; all else goes by urgency.
+    pub fn next_class(&mut self, now: Monotonic) -> Option<Class> {
+        for line in self.classes.values_mut() {
+            line.sort_out_late(now);
+        }
+        let waiting = || self.classes.iter().filter(|(_, line)| !line.is_empty());
+        let neglected = waiting()
+            .map(|(class, line)| (class, line.share_served(now)))
+            .filter(|(_, share)| *share < FLOOR_SHARE)
+            .min_by(|(_, a), (_, b)| a.total_cmp(b));
+        let urgent = || waiting().next().map(|(class, _)| class);
+        neglected.map(|(class, _)| class).or_else(urgent).cloned()
+    }
+
+    /// Returns the classes that wait, in the order of their turns after `first`.
+    pub fn classes_after(&self, first: &Class) -> Vec<Class> {
+        let waiting = self.classes.iter().filter(|(_, line)| !line.is_empty());
+        waiting
+            .map(|(class, _)| class)
+            .filter(|class| *class != first)
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the request of `class` whose turn it is.
+    #[must_use]
+    pub fn front(&self, class: &Class) -> Option<&Waiting<T>> {
+        self.classes.get(class)?.front()
+    }
+
+    /// Takes the request of `class` whose turn it is, and counts it as served.
+    pub fn pop(&mut self, now: Monotonic, class: &Class) -> Option<Waiting<T>> {
+        let line = self.classes.get_mut(class)?;
+        let waiting = line.pop()?;
+        line.grants.add(now, 1.0);
+        Some(waiting)
+    }
+
+    /// Takes out one request, for example because its caller has gone.
+    pub fn remove(&mut self, class: &Class, seq: u64) -> Option<Waiting<T>> {
+        self.classes.get_mut(class)?.remove(seq)
+    }
+
+    /// Takes all requests that have waited as long as they may.
+    pub fn take_expired(&mut self, now: Monotonic) -> Vec<Waiting<T>> {
+        let mut expired = Vec::new();
+        for line in self.classes.values_mut() {
+            line.take_expired(now, &mut expired);
+        }
+        expired
+    }
+
+    /// Returns how many requests wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.classes.values().map(ClassLine::len).sum()
+    }
+
+    /// Tells whether no request waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.classes.values().all(ClassLine::is_empty)
+    }
+}
--- a/crates/eelgrassramp/src/error.rs
+++ b/crates/eelgrassramp/src/error.rs
@@ -127,6 +127,10 @@
     RequestTooLarge "request_too_large" 413 No 0, Caller;
     /// The caller sent its request too slowly.
     RequestTimeout "request_timeout" 408 No 1, Caller;
+    /// The request carries no API key that names a client account.
+    Unauthorized "unauthorized" 401 No 0, Caller;
+    /// The client account has asked for more than its quota.
+    QuotaExceeded "quota_exceeded" 429 No 1, Caller;
     /// No route matches the request.
     UnknownRoute "unknown_route" 404 No 0, Caller;
     /// The idempotency key was used before with another request.
--- a/crates/eelgrassramp/src/log.rs
+++ b/crates/eelgrassramp/src/log.rs
@@ -41,7 +41,20 @@
 
 /// Creates a logger that writes JSON lines to standard error without blocking its callers.
 pub fn to_stderr(verbosity: Verbosity, process: &'static str) -> Logger {
-    let json = slog_json::Json::new(io::stderr())
+    to_writer(io::stderr(), verbosity, process)
+}
+
+/// Creates a logger that writes JSON lines to standard output without blocking its callers.
+pub fn to_stdout(verbosity: Verbosity, process: &'static str) -> Logger {
+    to_writer(io::stdout(), verbosity, process)
+}
+
+fn to_writer(
+    writer: impl io::Write + Send + 'static,
+    verbosity: Verbosity,
+    process: &'static str,
+) -> Logger {
+    let json = slog_json::Json::new(writer)
         .set_newlines(true)
         .set_flush(true)
         .add_key_value(o!(
