--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod endpoint;
 mod entry;
 pub mod events;
+pub mod exchange;
 mod flight;
 mod forward;
 mod handle;
