A stopping entry refuses new connections once the balancer had time to notice

Ruled out: kept connections, which close with the answer; the balancer's checks, which were 503. Conclusion: the listener closes 2.3 s after the signal; requests in progress keep their grace.

--- a/crates/direct/src/dispatcher.rs
+++ b/crates/direct/src/dispatcher.rs
@@ -306,13 +306,11 @@
     }
 
     fn pool_mut(&mut self, name: &PoolName) -> &mut PoolState {
-        self.pools
-            .entry(name.clone())
-            .or_insert_with(|| PoolState {
-                lanes: BTreeMap::new(),
-                line: Line::default(),
-                faded_at: Monotonic::ZERO,
-            })
+        self.pools.entry(name.clone()).or_insert_with(|| PoolState {
+            lanes: BTreeMap::new(),
+            line: Line::default(),
+            faded_at: Monotonic::ZERO,
+        })
     }
 
     fn lane_mut(&mut self, endpoint: &Endpoint) -> Option<&mut Lane> {
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -235,9 +235,7 @@
     pub fn hear(&self, entry: &EntryName, incarnation: u64, usage: Usage) {
         let now = self.cx.timers.now();
         let mut state = self.lock();
-        state
-            .quotas
-            .hear(now, entry, incarnation, &usage.admitted);
+        state.quotas.hear(now, entry, incarnation, &usage.admitted);
         state.others.insert(entry.clone(), usage.in_flight);
         state.count_others(now);
     }
@@ -327,14 +325,14 @@
         let now = self.cx.timers.now();
         let give_up_at = ticket.give_up_at;
         let (tx, rx) = oneshot::channel();
-        {
+        let _waits = {
             let mut state = self.lock();
             match state.dispatcher.enter(now, ticket.clone()) {
                 Placed::Granted(grant) => return Ok(grant),
-                Placed::Refused(wait) => return Err(self.overloaded(&ticket.pool, wait)),
+                Placed::Refused(wait) => return Err(overloaded(&ticket.pool, wait)),
                 Placed::Waits => state.waiters.insert(ticket.seq, tx),
-            };
-        }
+            }
+        };
         let pool = ticket.pool.clone();
         let mut place = Place {
             entry: self,
@@ -354,16 +352,11 @@
         place.is_settled = true;
         match granted {
             Ok(Ok(grant)) => Ok(grant),
-            Ok(Err(wait)) => Err(self.overloaded(&pool, wait)),
-            Err(_) => Err(self.overloaded(&pool, Duration::from_secs(1))),
+            Ok(Err(wait)) => Err(overloaded(&pool, wait)),
+            Err(_) => Err(overloaded(&pool, Duration::from_secs(1))),
         }
     }
 
-    fn overloaded(&self, pool: &PoolName, wait: Duration) -> Refusal {
-        let detail = format!("no endpoint of pool {pool:?} was free in time");
-        Refusal::later(Kind::Overloaded, detail, wait)
-    }
-
     pub(crate) fn answered(&self, endpoint: &Endpoint, seq: u64, load: Option<ReportedLoad>) {
         let now = self.cx.timers.now();
         self.lock().dispatcher.answered(now, endpoint, seq, load);
@@ -414,6 +407,11 @@
     }
 }
 
+fn overloaded(pool: &PoolName, wait: Duration) -> Refusal {
+    let detail = format!("no endpoint of pool {pool:?} was free in time");
+    Refusal::later(Kind::Overloaded, detail, wait)
+}
+
 impl State {
     fn wake(&mut self, now: eelgrassramp::Monotonic, wake: Wake) {
         let (seq, result) = match wake {
@@ -462,11 +460,10 @@
         if self.is_settled {
             return;
         }
-        {
-            let mut state = self.entry.lock();
-            state.dispatcher.leave(&self.ticket);
-            state.waiters.remove(&self.ticket.seq);
-        }
+        let mut state = self.entry.lock();
+        state.dispatcher.leave(&self.ticket);
+        state.waiters.remove(&self.ticket.seq);
+        drop(state);
         // A grant may have been handed over that was not received any more.
         if let Ok(Ok(grant)) = self.rx.try_recv() {
             let outcome = Outcome::Neutral;
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -25,7 +25,8 @@
         }
         self.partial.extend_from_slice(data);
         let end = end_of_last_event(&self.partial);
-        let end = end.or_else(|| (self.partial.len() > MAX_EVENT_BYTES).then(|| self.partial.len()));
+        let end =
+            end.or_else(|| (self.partial.len() > MAX_EVENT_BYTES).then(|| self.partial.len()));
         let Some(end) = end else {
             return Bytes::new();
         };
@@ -57,8 +58,8 @@
     }
 
     fn note_ids(&mut self, events: &[u8]) {
-        let ids = events.split(|b| *b == b'\n').filter_map(id_of_line);
-        if let Some(id) = ids.last() {
+        let mut ids = events.rsplit(|b| *b == b'\n').filter_map(id_of_line);
+        if let Some(id) = ids.next() {
             self.last_id = Some(id);
         }
     }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -78,8 +78,7 @@
 }
 
 /// Tables and endpoints in the form in which the platform keeps them.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
     /// The tables, when any are known.
     pub tables: Option<ByteBuf>,
@@ -108,8 +107,7 @@
 }
 
 /// What one entry tells another; fields are only ever added at the end.
-#[derive(Debug, Clone)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 struct UsageWire {
     entry: EntryName,
     incarnation: u64,
@@ -325,9 +323,11 @@
         }
     }
 
-    async fn call<T: DeserializeOwned>(&mut self, path: &str, body: Bytes) -> Result<T> {
+    async fn call<T: DeserializeOwned>(&mut self, path: &'static str, body: Bytes) -> Result<T> {
         let timers = self.cx.timers.clone();
-        let answer = timers.limit(ANSWER_TIMEOUT, self.exchange(path, body)).await;
+        let answer = timers
+            .limit(ANSWER_TIMEOUT, self.exchange(path, body))
+            .await;
         let body = answer.ok_or_else(|| {
             let detail = format!("entry at {}: no answer in time", self.addr);
             Error::new(Kind::ConnectFailed, detail)
@@ -335,10 +335,9 @@
         decode(&body)
     }
 
-    async fn exchange(&mut self, path: &str, body: Bytes) -> Result<Bytes> {
-        let failed = |e: hyper::Error| {
-            Error::with_source(Kind::ConnectFailed, "exchange with an entry", e)
-        };
+    async fn exchange(&mut self, path: &'static str, body: Bytes) -> Result<Bytes> {
+        let failed =
+            |e: hyper::Error| Error::with_source(Kind::ConnectFailed, "exchange with an entry", e);
         // The connection is kept only when the call ends in time and whole.
         let mut tx = match self.tx.take() {
             Some(tx) if !tx.is_closed() => tx,
@@ -347,8 +346,7 @@
         tx.ready().await.map_err(failed)?;
         let mut req = Request::new(Full::new(body));
         *req.method_mut() = Method::POST;
-        *req.uri_mut() = http::Uri::from_maybe_shared(path.to_owned())
-            .map_err(|e| Error::with_source(Kind::Internal, "path", e))?;
+        *req.uri_mut() = http::Uri::from_static(path);
         let resp = tx.send_request(req).await.map_err(failed)?;
         let status = resp.status();
         let body = resp.into_body().collect().await.map_err(failed)?;
--- a/crates/direct/src/flight.rs
+++ b/crates/direct/src/flight.rs
@@ -86,16 +86,20 @@
             }
         };
         self.end(outcome);
-        self.story.ended(&self.entry, Ending::Answered {
-            bytes: self.bytes,
-            pieces: self.pieces,
-        });
+        self.story.ended(
+            &self.entry,
+            Ending::Answered {
+                bytes: self.bytes,
+                pieces: self.pieces,
+            },
+        );
     }
 
     /// Notes that the dispatch ended without a whole answer.
     pub(crate) fn fail(&mut self, outcome: Outcome, cause: &Error) {
         self.end(outcome);
-        self.story.attempt_failed(&self.entry, &self.endpoint, cause);
+        self.story
+            .attempt_failed(&self.entry, &self.endpoint, cause);
     }
 
     fn slowness(&self) -> f64 {
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -87,8 +87,14 @@
 impl Forwarding {
     /// Returns when a request that arrived at `arrived` ends at the latest.
     pub(crate) fn end_of(arrived: Monotonic, call: &Call, route: &Route) -> Monotonic {
-        let limit = call.patience.map_or(route.timeout, |p| p.min(route.timeout));
-        let limit = if limit.is_zero() { DEFAULT_TIMEOUT } else { limit };
+        let limit = call
+            .patience
+            .map_or(route.timeout, |p| p.min(route.timeout));
+        let limit = if limit.is_zero() {
+            DEFAULT_TIMEOUT
+        } else {
+            limit
+        };
         arrived + limit
     }
 
@@ -150,9 +156,9 @@
     fn after(&mut self, grant: &Grant, failure: Failure) -> Result<(), Refusal> {
         let Failure {
             error,
-            outcome: _,
             is_unrun,
             has_arrived,
+            ..
         } = failure;
         self.tried.push(grant.endpoint.name.clone());
         self.sends += 1;
@@ -328,11 +334,7 @@
         Response::from_parts(parts, relay)
     }
 
-    fn request(
-        &self,
-        endpoint: &Endpoint,
-        time_left: Duration,
-    ) -> Request<Full<Bytes>> {
+    fn request(&self, endpoint: &Endpoint, time_left: Duration) -> Request<Full<Bytes>> {
         let dispatch = Dispatch {
             endpoint,
             account: self.account.as_ref(),
--- a/crates/direct/src/handle.rs
+++ b/crates/direct/src/handle.rs
@@ -96,10 +96,7 @@
     let forwarding = Forwarding {
         entry: Arc::clone(entry),
         ends_at: Forwarding::end_of(story.arrived, &call, &route),
-        rank: account
-            .as_ref()
-            .and_then(|a| a.rank)
-            .unwrap_or(route.rank),
+        rank: account.as_ref().and_then(|a| a.rank).unwrap_or(route.rank),
         account: account.as_ref().map(|a| a.name.clone()),
         call,
         method: parts.method,
@@ -181,11 +178,7 @@
     Err(Error::new(Kind::Unauthorized, detail).into())
 }
 
-async fn receive(
-    entry: &Entry,
-    deployment: &Deployment,
-    body: Incoming,
-) -> Result<Bytes, Refusal> {
+async fn receive(entry: &Entry, deployment: &Deployment, body: Incoming) -> Result<Bytes, Refusal> {
     let limits = deployment.limits();
     let read = Limited::new(body, limits.body_bytes).collect();
     let read = entry.cx().timers.limit(limits.receive_timeout, read).await;
--- a/crates/direct/src/lane.rs
+++ b/crates/direct/src/lane.rs
@@ -31,7 +31,7 @@
 const REPORT_LIFETIME: Duration = Duration::from_millis(400);
 
 /// Age after which the work that other entries told of no longer counts.
-const PEER_LIFETIME: Duration = Duration::from_millis(1_000);
+const PEER_LIFETIME: Duration = Duration::from_secs(1);
 
 /// How one dispatch ended, as far as the endpoint's health is concerned.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/direct/src/line.rs
+++ b/crates/direct/src/line.rs
@@ -199,6 +199,7 @@
     }
 
     /// Returns the classes that wait, in the order of their turns after `first`.
+    #[must_use]
     pub fn classes_after(&self, first: &Class) -> Vec<Class> {
         let waiting = self.classes.iter().filter(|(_, line)| !line.is_empty());
         waiting
--- a/crates/direct/src/meters.rs
+++ b/crates/direct/src/meters.rs
@@ -101,15 +101,27 @@
         let state = self.lock();
         let mut out = String::new();
         for (route, meters) in &state.routes {
-            line(&mut out, &format!("requests_answered{{route=\"{route}\"}}"), meters.answered);
-            line(&mut out, &format!("requests_abandoned{{route=\"{route}\"}}"), meters.abandoned);
+            line(
+                &mut out,
+                &format!("requests_answered{{route=\"{route}\"}}"),
+                meters.answered,
+            );
+            line(
+                &mut out,
+                &format!("requests_abandoned{{route=\"{route}\"}}"),
+                meters.abandoned,
+            );
             for q in QUANTILES {
                 let name = format!("latency_ms{{route=\"{route}\",quantile=\"{q}\"}}");
                 line(&mut out, &name, meters.latency_ms.value_at_quantile(q));
             }
         }
         for (kind, count) in &state.errors {
-            line(&mut out, &format!("requests_refused{{kind=\"{kind}\"}}"), *count);
+            line(
+                &mut out,
+                &format!("requests_refused{{kind=\"{kind}\"}}"),
+                *count,
+            );
         }
         for ((call, result), count) in &state.store_calls {
             let name = format!("store_calls{{call=\"{call}\",result=\"{result}\"}}");
--- a/crates/direct/src/quota.rs
+++ b/crates/direct/src/quota.rs
@@ -105,8 +105,7 @@
             let change = match before {
                 // While the entry was silent its equal part was taken already.
                 Some(before) if is_continuous => total - before,
-                Some(_) => 0.0,
-                None => 0.0,
+                Some(_) | None => 0.0,
             };
             if let Some(bucket) = self.buckets.get_mut(account) {
                 bucket.level -= change;
--- a/crates/direct/src/server.rs
+++ b/crates/direct/src/server.rs
@@ -31,7 +31,7 @@
 use crate::handle::handle;
 
 /// Time after a stop began in which the balancer stops sending new connections.
-const BALANCER_NOTICE: Duration = Duration::from_millis(2_600);
+const BALANCER_NOTICE: Duration = Duration::from_millis(2_300);
 
 /// Part of the time that a stop may take after which what is left is cut off.
 const STOP_SHARE: f64 = 0.96;
@@ -57,6 +57,9 @@
 
 /// Serves until the process is asked to stop and all requests in progress have ended.
 ///
+/// A stop goes in steps: unready at once, no new connections once the balancer knows, then what
+/// is in progress ends, and what takes longer than the grace allows is cut off.
+///
 /// # Errors
 ///
 /// Returns [`Kind::InvalidSettings`] when an address cannot be listened on.
@@ -74,17 +77,12 @@
     let accepting = accept(Arc::clone(&entry), callers, tracker.clone(), drain.clone());
     let accepting = tokio::spawn(accepting);
     entry.cx().stop.cancelled().await;
-    stop(&entry, &listen, &tracker, &drain).await;
-    accepting.abort();
-    Ok(())
-}
-
-/// Ends in steps: unready at once, no kept connections once the balancer knows, then the rest.
-async fn stop(entry: &Entry, listen: &Listen, tracker: &TaskTracker, drain: &CancellationToken) {
     let timers = &entry.cx().timers;
     let began = timers.now();
     info!(entry.cx().log, "stop began"; "connections" => tracker.len());
     timers.after(BALANCER_NOTICE).await;
+    // A balancer without enough ready entries sends on; a refused connection goes elsewhere.
+    accepting.abort();
     drain.cancel();
     tracker.close();
     let limit = listen.stop_grace.mul_f64(STOP_SHARE);
@@ -92,12 +90,13 @@
     let ended = timers.limit(left, tracker.wait()).await;
     info!(entry.cx().log, "stop ends"; "all_ended" => ended.is_some(),
         "connections" => tracker.len());
+    Ok(())
 }
 
 async fn bind(addr: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(addr).await.map_err(|e| {
-        Error::with_source(Kind::InvalidSettings, format!("listen on {addr}"), e)
-    })
+    TcpListener::bind(addr)
+        .await
+        .map_err(|e| Error::with_source(Kind::InvalidSettings, format!("listen on {addr}"), e))
 }
 
 async fn accept(
