Order by the account's rank before the route's; quotas with tolerance, parts and reserve

Cause: (1) all accounts carry a rank of their own, which replaced the route's, so kinds were ordered by the route's name. Ruled out: the bucket's start (0.5 s), overshoot between two exchanges (one-off, under 60k units). Conclusion: both stay; one entry's part while cut is what it asked for when last heard.

--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -38,7 +38,10 @@
 use crate::meters::Meters;
 use crate::protocol::CallerProtocol;
 use crate::protocol::EndpointProtocol;
+use crate::quota::AccountUse;
+use crate::quota::Demand;
 use crate::quota::Quotas;
+use crate::quota::Tolerance;
 use crate::refusal::Refusal;
 use crate::retry::RetryBudget;
 use crate::retry::RetryLimits;
@@ -60,6 +63,15 @@
     pub incarnation: u64,
 }
 
+/// Limits that hold for all entries together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FleetLimits {
+    /// How many dispatches may be repeated.
+    pub retry: RetryLimits,
+    /// How far accounts may go beyond their quotas.
+    pub quota: Tolerance,
+}
+
 /// One entry: what it knows, what waits and what is in flight.
 pub struct Entry {
     cx: Context,
@@ -93,7 +105,7 @@
         identity: Identity,
         caller_protocol: Arc<dyn CallerProtocol>,
         endpoint_protocol: Arc<dyn EndpointProtocol>,
-        retry_limits: RetryLimits,
+        fleet_limits: FleetLimits,
         meters: Arc<Meters>,
     ) -> Arc<Self> {
         let dispatcher = Dispatcher::new(identity.name.as_str(), identity.domain.as_str());
@@ -101,7 +113,7 @@
             cx: cx.clone(),
             caller_protocol,
             endpoint_protocol,
-            retry_limits,
+            retry_limits: fleet_limits.retry,
             deployment: ArcSwapOption::empty(),
             endpoints: ArcSwap::default(),
             connections: Connections::new(cx),
@@ -111,7 +123,7 @@
                 dispatcher,
                 waiters: HashMap::new(),
                 budgets: HashMap::new(),
-                quotas: Quotas::default(),
+                quotas: Quotas::new(fleet_limits.quota),
                 rng: cx.rng("entry"),
                 others: HashMap::new(),
             }),
@@ -224,10 +236,11 @@
     /// Returns what the other entries have to know.
     #[must_use]
     pub fn usage(&self) -> Usage {
+        let now = self.cx.timers.now();
         let state = self.lock();
         Usage {
             in_flight: state.dispatcher.in_flight(),
-            admitted: state.quotas.admitted(),
+            accounts: state.quotas.usage(now),
         }
     }
 
@@ -235,7 +248,7 @@
     pub fn hear(&self, entry: &EntryName, incarnation: u64, usage: Usage) {
         let now = self.cx.timers.now();
         let mut state = self.lock();
-        state.quotas.hear(now, entry, incarnation, &usage.admitted);
+        state.quotas.hear(now, entry, incarnation, &usage.accounts);
         state.others.insert(entry.clone(), usage.in_flight);
         state.count_others(now);
     }
@@ -255,6 +268,12 @@
         }
     }
 
+    /// Notes that another entry's process does not run.
+    pub fn set_peer_down(&self, entry: &EntryName) {
+        self.lose_peer(entry);
+        self.lock().quotas.set_down(entry);
+    }
+
     /// Forgets another entry that has ended.
     pub fn forget_peer(&self, entry: &EntryName) {
         self.lose_peer(entry);
@@ -303,14 +322,14 @@
     }
 
     /// Takes a request's units from its account's quota.
-    pub(crate) fn take_quota(&self, account: &Account, units: f64) -> Result<(), Refusal> {
+    pub(crate) fn take_quota(&self, account: &Account, demand: Demand) -> Result<(), Refusal> {
         let Some(quota) = &account.quota else {
             return Ok(());
         };
         let now = self.cx.timers.now();
-        let taken = self.lock().quotas.take(now, &account.name, quota, units);
+        let taken = self.lock().quotas.take(now, &account.name, quota, demand);
         taken.map_err(|wait| {
-            let detail = format!("account {:?} asked for {units} units", account.name);
+            let detail = format!("account {:?} asked for {} units", account.name, demand.units);
             Refusal::later(Kind::QuotaExceeded, detail, wait)
         })
     }
@@ -443,8 +462,8 @@
 pub struct Usage {
     /// Requests in flight by endpoint.
     pub in_flight: Vec<(EndpointName, u32)>,
-    /// Units admitted by account since the entry's start.
-    pub admitted: Vec<(AccountName, f64)>,
+    /// Units by account.
+    pub accounts: Vec<AccountUse>,
 }
 
 /// A place in the line; dropping it leaves the line.
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -46,6 +46,7 @@
 use crate::connections;
 use crate::entry::Entry;
 use crate::entry::Usage;
+use crate::quota::AccountUse;
 
 /// Time between two questions to the same entry.
 const PERIOD: Duration = Duration::from_millis(200);
@@ -114,10 +115,38 @@
     tables: u64,
     endpoints: u64,
     in_flight: Vec<(EndpointName, u32)>,
-    admitted: Vec<(AccountName, f64)>,
+    accounts: Vec<AccountUseWire>,
     is_stopping: bool,
 }
 
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+struct AccountUseWire {
+    account: AccountName,
+    admitted: f64,
+    asked: f64,
+}
+
+impl From<AccountUse> for AccountUseWire {
+    fn from(usage: AccountUse) -> Self {
+        Self {
+            account: usage.account,
+            admitted: usage.admitted,
+            asked: usage.asked,
+        }
+    }
+}
+
+impl From<AccountUseWire> for AccountUse {
+    fn from(wire: AccountUseWire) -> Self {
+        Self {
+            account: wire.account,
+            admitted: wire.admitted,
+            asked: wire.asked,
+        }
+    }
+}
+
 impl UsageWire {
     fn of(entry: &Entry, freshness: Freshness) -> Self {
         let usage = entry.usage();
@@ -127,7 +156,7 @@
             tables: freshness.tables,
             endpoints: freshness.endpoints,
             in_flight: usage.in_flight,
-            admitted: usage.admitted,
+            accounts: usage.accounts.into_iter().map(Into::into).collect(),
             is_stopping: entry.cx().stop.is_cancelled(),
         }
     }
@@ -137,7 +166,7 @@
     fn from(wire: UsageWire) -> Self {
         Self {
             in_flight: wire.in_flight,
-            admitted: wire.admitted,
+            accounts: wire.accounts.into_iter().map(Into::into).collect(),
         }
     }
 }
@@ -271,6 +300,9 @@
                 }
                 Err(e) => {
                     failures += 1;
+                    if is_refused(&e) {
+                        self.entry.set_peer_down(&name);
+                    }
                     if failures == FAILURES_BEFORE_LOSS {
                         info!(cx.log, "entry lost"; "entry" => name.as_str(), "cause" => %e);
                         self.entry.lose_peer(&name);
@@ -375,6 +407,19 @@
     }
 }
 
+/// Tells whether the other side's machine answered that no process listens there.
+fn is_refused(e: &Error) -> bool {
+    let mut source = std::error::Error::source(e);
+    while let Some(cause) = source {
+        let io = cause.downcast_ref::<std::io::Error>();
+        if io.is_some_and(|io| io.kind() == std::io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        source = cause.source();
+    }
+    false
+}
+
 fn status_only(status: StatusCode) -> Response<Full<Bytes>> {
     let mut resp = Response::new(Full::new(Bytes::new()));
     *resp.status_mut() = status;
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -30,6 +30,7 @@
 use crate::journal::Story;
 use crate::lane::Outcome;
 use crate::line::Class;
+use crate::line::Urgency;
 use crate::protocol::AnswerHead;
 use crate::protocol::Call;
 use crate::protocol::Dispatch;
@@ -63,7 +64,7 @@
     pub(crate) body: Bytes,
     pub(crate) route: Arc<Route>,
     pub(crate) pool: PoolName,
-    pub(crate) rank: u32,
+    pub(crate) urgency: Urgency,
     pub(crate) account: Option<AccountName>,
     pub(crate) arrived: Monotonic,
     pub(crate) ends_at: Monotonic,
@@ -137,7 +138,7 @@
             seq: self.entry.next_seq(),
             pool: self.pool.clone(),
             class: Class {
-                rank: self.rank,
+                urgency: self.urgency,
                 route: self.route.name.clone(),
             },
             arrived: now,
--- a/crates/direct/src/handle.rs
+++ b/crates/direct/src/handle.rs
@@ -33,7 +33,9 @@
 use crate::entry::Entry;
 use crate::forward::Forwarding;
 use crate::journal::Story;
+use crate::line::Urgency;
 use crate::protocol::Call;
+use crate::quota::Demand;
 use crate::refusal::Refusal;
 use crate::relay::Frames;
 
@@ -91,12 +93,13 @@
         let detail = format!("route \"{}\" names no pool", route.name);
         Refusal::from(Error::new(Kind::PoolUnavailable, detail))
     })?;
-    let units = charge(entry, account.as_deref(), &call)?;
+    let urgency = Urgency::new(account.as_ref().and_then(|a| a.rank), route.rank);
+    let units = charge(entry, account.as_deref(), &call, urgency)?;
     entry.count_request(&pool);
     let forwarding = Forwarding {
         entry: Arc::clone(entry),
         ends_at: Forwarding::end_of(story.arrived, &call, &route),
-        rank: account.as_ref().and_then(|a| a.rank).unwrap_or(route.rank),
+        urgency,
         account: account.as_ref().map(|a| a.name.clone()),
         call,
         method: parts.method,
@@ -196,7 +199,12 @@
     Ok(read.to_bytes())
 }
 
-fn charge(entry: &Entry, account: Option<&Account>, call: &Call) -> Result<f64, Refusal> {
+fn charge(
+    entry: &Entry,
+    account: Option<&Account>,
+    call: &Call,
+    urgency: Urgency,
+) -> Result<f64, Refusal> {
     let Some(account) = account else {
         return Ok(0.0);
     };
@@ -204,7 +212,7 @@
         .quota
         .as_ref()
         .map_or(0.0, |q| q.units(call.declared_tokens()));
-    entry.take_quota(account, units)?;
+    entry.take_quota(account, Demand { units, urgency })?;
     Ok(units)
 }
 
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -13,6 +13,7 @@
 mod entry;
 pub mod events;
 pub mod exchange;
+pub mod faded;
 mod flight;
 mod forward;
 mod handle;
@@ -28,6 +29,7 @@
 mod server;
 
 pub use self::entry::Entry;
+pub use self::entry::FleetLimits;
 pub use self::entry::Identity;
 pub use self::entry::Usage;
 pub use self::meters::Gauge;
--- a/crates/direct/src/line.rs
+++ b/crates/direct/src/line.rs
@@ -11,6 +11,8 @@
 use eelgrassramp::Monotonic;
 use eelgrassramp::RouteName;
 
+use crate::faded::Faded;
+
 /// Share of its arrivals that a class is served before more urgent classes go first.
 pub const FLOOR_SHARE: f64 = 0.55;
 
@@ -20,11 +22,33 @@
 /// Requests that a class may have waiting before its estimate of the wait is used.
 const UNESTIMATED_LENGTH: usize = 4;
 
+/// How urgent a request is; the most urgent compares lowest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Urgency {
+    /// Rank of the client account, which goes before the route's; 0 is the most urgent.
+    pub account: u32,
+    /// Rank of the route; 0 is the most urgent.
+    pub route: u32,
+}
+
+impl Urgency {
+    /// Combines the ranks of a request's account and route.
+    ///
+    /// A request whose account has no rank of its own counts with its route's.
+    #[must_use]
+    pub fn new(account: Option<u32>, route: u32) -> Self {
+        Self {
+            account: account.unwrap_or(route),
+            route,
+        }
+    }
+}
+
 /// Requests that are ordered among themselves by arrival: one route at one urgency.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Class {
-    /// Urgency; 0 is the most urgent.
-    pub rank: u32,
+    /// How urgent its requests are.
+    pub urgency: Urgency,
     /// The route.
     pub route: RouteName,
 }
@@ -44,25 +68,6 @@
     pub item: T,
 }
 
-/// A quantity that fades away over [`MEMORY`].
-#[derive(Debug, Clone, Copy, Default)]
-struct Faded {
-    value: f64,
-    at: Monotonic,
-}
-
-impl Faded {
-    fn add(&mut self, now: Monotonic, x: f64) {
-        self.value = self.at(now) + x;
-        self.at = now;
-    }
-
-    fn at(&self, now: Monotonic) -> f64 {
-        let age = now.since(self.at).as_secs_f64();
-        self.value * (-age / MEMORY.as_secs_f64()).exp()
-    }
-}
-
 #[derive(Debug)]
 struct ClassLine<T> {
     on_time: VecDeque<Waiting<T>>,
@@ -76,8 +81,8 @@
         Self {
             on_time: VecDeque::new(),
             late: VecDeque::new(),
-            arrivals: Faded::default(),
-            grants: Faded::default(),
+            arrivals: Faded::new(MEMORY),
+            grants: Faded::new(MEMORY),
         }
     }
 }
@@ -164,7 +169,7 @@
         if line.len() < UNESTIMATED_LENGTH {
             return Duration::ZERO;
         }
-        let per_second = line.grants.at(now) / MEMORY.as_secs_f64();
+        let per_second = line.grants.per_second(now);
         let wait = line.len() as f64 / per_second.max(0.1);
         Duration::from_secs_f64(wait.min(60.0))
     }
--- a/crates/direct/src/quota.rs
+++ b/crates/direct/src/quota.rs
@@ -2,8 +2,8 @@
 //!
 //! Each entry keeps a token bucket for each account and takes out of it what it admits itself
 //! and what the other entries tell that they admitted. While another entry cannot be heard, it
-//! counts as if it admitted an equal part of the rate, so that the sum stays within the quota
-//! when entries are cut off from each other.
+//! counts as if it used the part of the rate that it had asked for when it was last heard. Both
+//! sides of a cut reckon with the same parts, so their sum stays within the quota.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -13,8 +13,10 @@
 use eelgrassramp::Monotonic;
 
 use crate::deployment::Quota;
+use crate::faded::Faded;
+use crate::line::Urgency;
 
-/// Silence after which another entry counts as if it used its equal part.
+/// Silence after which another entry counts as if it used its part.
 const PEER_SILENCE: Duration = Duration::from_millis(1_200);
 
 /// Time after which a silent entry counts as gone.
@@ -23,58 +25,149 @@
 /// Seconds of its rate that a bucket holds when a process starts.
 const START_SECONDS: f64 = 0.5;
 
+/// Time over which an account's demand is remembered.
+const DEMAND_MEMORY: Duration = Duration::from_secs(2);
+
+/// Part of the tolerance that callers get; the rest covers what entries tell each other late.
+const USED_TOLERANCE: f64 = 0.55;
+
+/// Part of a bucket that is kept for more urgent routes, for each step of rank.
+const RESERVE_PER_RANK: f64 = 0.15;
+
+/// Most steps of rank for which a reserve is kept.
+const MAX_RESERVE_RANKS: u32 = 2;
+
+/// Units from which a request has to leave the whole reserve.
+const FULL_RESERVE_UNITS: f64 = 1_000.0;
+
+/// How far the sum over all entries may go beyond a quota.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Tolerance {
+    /// Span over which it is counted.
+    pub window: Duration,
+    /// Part of the quota.
+    pub ratio: f64,
+    /// Units on top.
+    pub units: f64,
+}
+
+impl Tolerance {
+    /// No tolerance at all.
+    pub const NONE: Self = Self {
+        window: Duration::from_secs(1),
+        ratio: 0.0,
+        units: 0.0,
+    };
+
+    fn per_second(&self, quota: &Quota) -> f64 {
+        let seconds = self.window.as_secs_f64().max(1.0);
+        let extra = self.ratio * quota.per_second + self.units / seconds;
+        quota.per_second + USED_TOLERANCE * extra
+    }
+}
+
+/// What a request wants from its account's quota.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Demand {
+    /// Units.
+    pub units: f64,
+    /// How urgent it is among the account's requests.
+    pub urgency: Urgency,
+}
+
+impl Demand {
+    /// Returns the part of a bucket that has to stay for more urgent requests.
+    ///
+    /// Small requests leave little, because refusing them frees little.
+    fn reserve(&self) -> f64 {
+        let ranks = f64::from(self.urgency.route.min(MAX_RESERVE_RANKS));
+        RESERVE_PER_RANK * ranks * (self.units / FULL_RESERVE_UNITS).min(1.0)
+    }
+}
+
 #[derive(Debug)]
 struct Bucket {
     level: f64,
     at: Monotonic,
-    quota: Quota,
     /// Units admitted by this entry since its start.
     admitted: f64,
+    /// Units asked of this entry.
+    asked: Faded,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Peer {
     heard_at: Monotonic,
-    admitted: HashMap<AccountName, f64>,
     incarnation: u64,
+    admitted: HashMap<AccountName, f64>,
+    /// Units a second asked of it.
+    asked: HashMap<AccountName, f64>,
+    /// Its parts of the rates when it was last heard.
+    parts: HashMap<AccountName, f64>,
+    is_down: bool,
+}
+
+/// What an entry tells of one account.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AccountUse {
+    /// The account.
+    pub account: AccountName,
+    /// Units admitted since the entry's start.
+    pub admitted: f64,
+    /// Units a second asked of late.
+    pub asked: f64,
 }
 
 /// The quotas of all accounts as one entry sees them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Quotas {
+    tolerance: Tolerance,
     buckets: HashMap<AccountName, Bucket>,
     peers: HashMap<EntryName, Peer>,
 }
 
 impl Quotas {
-    /// Takes `units` for a request, or returns when they will be there.
+    /// Creates quotas of which nothing was used yet.
+    #[must_use]
+    pub fn new(tolerance: Tolerance) -> Self {
+        Self {
+            tolerance,
+            buckets: HashMap::new(),
+            peers: HashMap::new(),
+        }
+    }
+
+    /// Takes units for a request, or returns when they will be there.
     ///
     /// # Errors
     ///
-    /// Returns the time until the account has units again.
+    /// Returns the time until the account has units for such a request again.
     pub fn take(
         &mut self,
         now: Monotonic,
         account: &AccountName,
         quota: &Quota,
-        units: f64,
+        demand: Demand,
     ) -> Result<(), Duration> {
         if quota.per_second <= 0.0 {
             return Ok(());
         }
-        let silent = self.silent_share(now);
-        let bucket = self.bucket(now, account, quota, silent);
-        if bucket.level <= 0.0 {
-            let missing = units.min(quota.burst) - bucket.level;
-            let seconds = missing / (quota.per_second * (1.0 - silent)).max(1.0);
+        let own_part = 1.0 - self.silent_part(now, account);
+        let per_second = self.tolerance.per_second(quota) * own_part;
+        let bucket = self.bucket(now, account, quota, per_second);
+        bucket.asked.add(now, demand.units);
+        let reserve = demand.reserve() * quota.burst;
+        if bucket.level <= reserve {
+            let missing = reserve + demand.units.min(quota.burst) - bucket.level;
+            let seconds = missing / per_second.max(1.0);
             return Err(Duration::from_secs_f64(seconds.clamp(0.2, 30.0)));
         }
-        bucket.level -= units;
-        bucket.admitted += units;
+        bucket.level -= demand.units;
+        bucket.admitted += demand.units;
         Ok(())
     }
 
-    /// Gives back what was taken for a request that was never sent to an endpoint.
+    /// Gives back what was taken for a request that no endpoint ran.
     pub fn give_back(&mut self, account: &AccountName, units: f64) {
         if let Some(bucket) = self.buckets.get_mut(account) {
             bucket.level += units;
@@ -82,11 +175,16 @@
         }
     }
 
-    /// Returns the units that this entry has admitted for each account since its start.
+    /// Returns what this entry tells the others.
     #[must_use]
-    pub fn admitted(&self) -> Vec<(AccountName, f64)> {
+    pub fn usage(&self, now: Monotonic) -> Vec<AccountUse> {
         let buckets = self.buckets.iter();
-        buckets.map(|(a, b)| (a.clone(), b.admitted)).collect()
+        let usage = buckets.map(|(account, bucket)| AccountUse {
+            account: account.clone(),
+            admitted: bucket.admitted,
+            asked: bucket.asked.per_second(now),
+        });
+        usage.collect()
     }
 
     /// Takes in what another entry has admitted since its start.
@@ -95,27 +193,27 @@
         now: Monotonic,
         entry: &EntryName,
         incarnation: u64,
-        admitted: &[(AccountName, f64)],
+        usage: &[AccountUse],
     ) {
-        let known = self.peers.get(entry);
-        let known = known.filter(|peer| peer.incarnation == incarnation);
-        let is_continuous = known.is_some_and(|peer| now.since(peer.heard_at) < PEER_SILENCE);
-        for (account, total) in admitted {
-            let before = known.and_then(|peer| peer.admitted.get(account).copied());
-            let change = match before {
-                // While the entry was silent its equal part was taken already.
-                Some(before) if is_continuous => total - before,
-                Some(_) | None => 0.0,
-            };
-            if let Some(bucket) = self.buckets.get_mut(account) {
+        let mut peer = self.peers.remove(entry).unwrap_or_default();
+        let is_same = peer.incarnation == incarnation;
+        let is_continuous = is_same && now.since(peer.heard_at) < PEER_SILENCE;
+        for account in usage {
+            let before = peer.admitted.insert(account.account.clone(), account.admitted);
+            // While the entry was silent its part of the rate was taken already.
+            let change = before
+                .filter(|_| is_continuous)
+                .map_or(0.0, |before| account.admitted - before);
+            if let Some(bucket) = self.buckets.get_mut(&account.account) {
                 bucket.level -= change;
             }
+            peer.asked.insert(account.account.clone(), account.asked);
+            let part = self.part(now, &account.account, account.asked);
+            peer.parts.insert(account.account.clone(), part);
         }
-        let peer = Peer {
-            heard_at: now,
-            admitted: admitted.iter().cloned().collect(),
-            incarnation,
-        };
+        peer.heard_at = now;
+        peer.incarnation = incarnation;
+        peer.is_down = false;
         self.peers.insert(entry.clone(), peer);
     }
 
@@ -123,11 +221,17 @@
     pub fn expect(&mut self, now: Monotonic, entry: &EntryName) {
         self.peers.entry(entry.clone()).or_insert_with(|| Peer {
             heard_at: now,
-            admitted: HashMap::new(),
-            incarnation: 0,
+            ..Peer::default()
         });
     }
 
+    /// Notes that another entry's process does not run, so that it admits nothing.
+    pub fn set_down(&mut self, entry: &EntryName) {
+        if let Some(peer) = self.peers.get_mut(entry) {
+            peer.is_down = true;
+        }
+    }
+
     /// Forgets another entry that has ended.
     pub fn forget(&mut self, entry: &EntryName) {
         self.peers.remove(entry);
@@ -139,14 +243,26 @@
         u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX)
     }
 
-    /// Returns the share of each rate that entries may use that cannot be heard.
-    fn silent_share(&self, now: Monotonic) -> f64 {
-        let age = |peer: &Peer| now.since(peer.heard_at);
-        let gone = self.peers.values().filter(|p| age(p) > PEER_GONE).count();
-        let silent = self.peers.values().filter(|p| age(p) > PEER_SILENCE);
-        let silent = silent.count() - gone;
-        let all = self.peers.len() + 1 - gone;
-        silent as f64 / all as f64
+    /// Returns the part of an account's rate that entries may use that cannot be heard.
+    fn silent_part(&self, now: Monotonic, account: &AccountName) -> f64 {
+        let equal = 1.0 / f64::from(self.entries());
+        let silent = self.peers.values().filter(|peer| peer.is_silent(now));
+        let parts = silent.map(|peer| peer.parts.get(account).copied().unwrap_or(equal));
+        parts.sum::<f64>().min(1.0 - equal)
+    }
+
+    /// Returns the part of an account's demand that `asked` is.
+    fn part(&self, now: Monotonic, account: &AccountName, asked: f64) -> f64 {
+        let own = self.buckets.get(account);
+        let own = own.map_or(0.0, |bucket| bucket.asked.per_second(now));
+        let others = self.peers.values().filter(|peer| !peer.is_silent(now));
+        let others: f64 = others.filter_map(|peer| peer.asked.get(account)).sum();
+        let all = own + others + asked;
+        if all > 0.0 {
+            asked / all
+        } else {
+            1.0 / f64::from(self.entries() + 1)
+        }
     }
 
     fn bucket(
@@ -154,7 +270,7 @@
         now: Monotonic,
         account: &AccountName,
         quota: &Quota,
-        silent: f64,
+        per_second: f64,
     ) -> &mut Bucket {
         let bucket = self
             .buckets
@@ -162,14 +278,19 @@
             .or_insert_with(|| Bucket {
                 level: (quota.per_second * START_SECONDS).min(quota.burst),
                 at: now,
-                quota: *quota,
                 admitted: 0.0,
+                asked: Faded::new(DEMAND_MEMORY),
             });
         let age = now.since(bucket.at).as_secs_f64();
-        let refill = quota.per_second * (1.0 - silent) * age;
-        bucket.level = (bucket.level + refill).min(quota.burst);
+        bucket.level = (bucket.level + per_second * age).min(quota.burst);
         bucket.at = now;
-        bucket.quota = *quota;
         bucket
     }
 }
+
+impl Peer {
+    fn is_silent(&self, now: Monotonic) -> bool {
+        let silence = now.since(self.heard_at);
+        !self.is_down && silence > PEER_SILENCE && silence < PEER_GONE
+    }
+}
