--- a/crates/direct/src/dispatcher.rs
+++ b/crates/direct/src/dispatcher.rs
@@ -38,6 +38,12 @@
 /// How much an endpoint in another failure domain counts as slower, for bytes between domains.
 const OTHER_DOMAIN_PENALTY: f64 = 1.1;
 
+/// Requests that an endpoint may hold beyond its places, by the rank of their route.
+///
+/// The next place to come free goes to the request that waits inside the endpoint already, so
+/// only the most urgent may.
+const EXTRA_PLACES: [u32; 1] = [1];
+
 /// Time without any answer after which an endpoint counts as stalled.
 const STALL: Duration = Duration::from_millis(1_500);
 
@@ -132,7 +138,6 @@
     domain: Box<str>,
     /// Distinguishes this entry's order of preference among equal endpoints.
     preference: u64,
-    overcommit: u32,
     pools: HashMap<PoolName, PoolState>,
     /// Other entries that can be heard.
     peers: u32,
@@ -146,7 +151,6 @@
         Self {
             domain: domain.into(),
             preference: xxh3_64(entry.as_bytes()),
-            overcommit: 0,
             pools: HashMap::new(),
             peers: 0,
             peers_known: false,
@@ -301,7 +305,6 @@
         View {
             domain: self.domain.clone(),
             preference: self.preference,
-            overcommit: self.overcommit,
         }
     }
 
@@ -327,7 +330,6 @@
 struct View {
     domain: Box<str>,
     preference: u64,
-    overcommit: u32,
 }
 
 impl PoolState {
@@ -374,13 +376,14 @@
     /// Chooses the endpoint that is predicted to answer first among those with a free place.
     fn place(&mut self, now: Monotonic, ticket: &Ticket, view: &View) -> Option<Grant> {
         let failures = self.mean_failures();
+        let extra = extra_places(ticket);
         let ready = || self.lanes.values().filter(|l| l.is_ready());
         let avoided = |lane: &Lane| lane.is_avoided(now, failures) || lane.is_stalled(now, STALL);
         let total = ready().count() as f64;
         let is_trusted = ready().filter(|l| avoided(l)).count() as f64 <= MAX_AVOIDED_SHARE * total;
         let usable = ready()
             .filter(|lane| !ticket.tried.contains(&lane.endpoint().name))
-            .filter(|lane| lane.busy(now) < lane.slots() + view.overcommit)
+            .filter(|lane| lane.busy(now) < lane.slots() + extra)
             .filter(|lane| !(is_trusted && avoided(lane)));
         let best = usable
             .map(|lane| (view.score(now, lane), lane))
@@ -418,6 +421,11 @@
     }
 }
 
+fn extra_places(ticket: &Ticket) -> u32 {
+    let rank = usize::try_from(ticket.class.urgency.route).unwrap_or(usize::MAX);
+    EXTRA_PLACES.get(rank).copied().unwrap_or(0)
+}
+
 /// Chooses when a refused caller may come back: when about half of what waits has been served.
 ///
 /// The request's number spreads callers that were refused together.
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -323,6 +323,11 @@
         &self.connections
     }
 
+    /// Tells whether more than `tried` endpoints of `pool` take new work.
+    pub(crate) fn has_other_endpoint(&self, pool: &PoolName, tried: usize) -> bool {
+        self.lock().dispatcher.ready_endpoints(pool) > tried
+    }
+
     pub(crate) fn next_seq(&self) -> u64 {
         self.seq.fetch_add(1, Ordering::Relaxed)
     }
@@ -360,7 +365,10 @@
         let now = self.cx.timers.now();
         let taken = self.lock().quotas.take(now, &account.name, quota, demand);
         taken.map_err(|wait| {
-            let detail = format!("account {:?} asked for {} units", account.name, demand.units);
+            let detail = format!(
+                "account {:?} asked for {} units",
+                account.name, demand.units
+            );
             Refusal::later(Kind::QuotaExceeded, detail, wait)
         })
     }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -119,8 +119,7 @@
     is_stopping: bool,
 }
 
-#[derive(Debug, Clone)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 struct AccountUseWire {
     account: AccountName,
     admitted: f64,
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -13,6 +13,8 @@
 use http::HeaderMap;
 use http::Method;
 use http::Uri;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
@@ -314,6 +316,8 @@
         self.tried.push(flight.endpoint().name.clone());
         let (mut parts, body) = resp.into_parts();
         let is_success = parts.status.is_success();
+        let is_framed = parts.headers.contains_key(CONTENT_LENGTH)
+            || parts.headers.contains_key(TRANSFER_ENCODING);
         self.entry
             .endpoint_protocol()
             .strip_connection_headers(&mut parts.headers);
@@ -330,6 +334,7 @@
             deadline: Box::pin(async move { timers.until(ends_at).await }),
             events: is_stream.then(EventSplitter::default),
             forwarding: can_resume.then(|| Box::new(self.clone())),
+            is_framed,
             is_failure: parts.status.is_server_error(),
         };
         Response::from_parts(parts, relay)
@@ -352,7 +357,12 @@
 
     /// Returns how long the head of an answer is awaited.
     fn answer_limit(&self, time_left: Duration) -> Duration {
-        if self.is_repeatable() && self.runs + 1 < self.route.max_attempts {
+        let can_repeat = self.is_repeatable() && self.runs + 1 < self.route.max_attempts;
+        if can_repeat
+            && self
+                .entry
+                .has_other_endpoint(&self.pool, self.tried.len() + 1)
+        {
             let limit = self.route.objective.mul_f64(REPEAT_AFTER_SHARE);
             limit.min(time_left)
         } else {
--- a/crates/direct/src/quota.rs
+++ b/crates/direct/src/quota.rs
@@ -202,7 +202,9 @@
         let is_same = peer.incarnation == incarnation;
         let is_continuous = is_same && peer.silence(now) < PEER_SILENCE;
         for account in usage {
-            let before = peer.admitted.insert(account.account.clone(), account.admitted);
+            let before = peer
+                .admitted
+                .insert(account.account.clone(), account.admitted);
             // While the entry was silent its part of the rate was taken already.
             let change = before
                 .filter(|_| is_continuous)
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -37,6 +37,8 @@
     pub(crate) events: Option<EventSplitter>,
     /// Set while another endpoint could continue the stream.
     pub(crate) forwarding: Option<Box<Forwarding>>,
+    /// Whether the endpoint's answer states its own end, by a length or by chunks.
+    pub(crate) is_framed: bool,
     pub(crate) is_failure: bool,
 }
 
@@ -62,6 +64,13 @@
                         return Some(Ok(Frame::data(out)));
                     }
                 }
+                Ok(None) if self.is_cut_inside_an_event() => {
+                    let detail = "the endpoint closed the connection inside an event";
+                    let cause = Error::new(Kind::StreamBroken, detail);
+                    if let Err(e) = self.resume(cause).await {
+                        return Some(Err(e));
+                    }
+                }
                 Ok(None) => return self.end(),
                 Err(e) => {
                     if let Err(e) = self.resume(e).await {
@@ -72,6 +81,12 @@
         }
     }
 
+    /// Tells whether an answer that ends with its connection ended too early.
+    fn is_cut_inside_an_event(&self) -> bool {
+        let partial = self.events.as_ref().map(EventSplitter::partial);
+        !self.is_framed && partial.is_some_and(|partial| !partial.is_empty())
+    }
+
     async fn read(&mut self) -> Result<Option<Bytes>> {
         loop {
             let frame = tokio::select! {
--- a/crates/direct/tests/quota.rs
+++ b/crates/direct/tests/quota.rs
@@ -12,6 +12,9 @@
 use eelgrassramp_direct::quota::Tolerance;
 use googletest::prelude::*;
 
+/// Units of each request.
+const UNITS: f64 = 4_000.0;
+
 const WINDOW_MS: u64 = 8_000;
 
 const QUOTA: Quota = Quota {
@@ -62,16 +65,20 @@
         }
     }
 
-    fn play(&mut self, from_ms: u64, to_ms: u64, per_second: f64, hears: impl Fn(usize, usize) -> bool) {
-        const UNITS: f64 = 4_000.0;
-        let size = self.entries.len();
-        let gap_ms = (UNITS * 1_000.0 * size as f64 / per_second).max(1.0) as u64;
+    /// Each entry is asked for 4,000 units every `gap_ms`.
+    fn play(
+        &mut self,
+        from_ms: u64,
+        to_ms: u64,
+        gap_ms: u64,
+        hears: impl Fn(usize, usize) -> bool,
+    ) {
         for ms in from_ms..to_ms {
             let now = Monotonic::from_millis(ms);
             if ms % 200 == 0 {
                 self.exchange(now, &hears);
             }
-            for entry in 0..size {
+            for entry in 0..self.entries.len() {
                 let is_due = (ms + 7 * entry as u64).is_multiple_of(gap_ms);
                 if is_due && self.take(now, entry, UNITS) {
                     self.admitted.push((ms, UNITS));
@@ -98,10 +105,16 @@
 
     fn most_in_a_window(&self) -> f64 {
         let sum_from = |start: u64| -> f64 {
-            let within = self.admitted.iter().filter(|(ms, _)| (start..start + WINDOW_MS).contains(ms));
+            let within = self
+                .admitted
+                .iter()
+                .filter(|(ms, _)| (start..start + WINDOW_MS).contains(ms));
             within.map(|(_, units)| units).sum()
         };
-        self.admitted.iter().map(|(ms, _)| sum_from(*ms)).fold(0.0, f64::max)
+        self.admitted
+            .iter()
+            .map(|(ms, _)| sum_from(*ms))
+            .fold(0.0, f64::max)
     }
 }
 
@@ -114,7 +127,7 @@
 fn a_demand_of_six_times_the_quota_stays_within_it_over_all_entries() {
     let mut fleet = Fleet::new(5);
 
-    fleet.play(0, 20_000, 6.0 * QUOTA.per_second, |_, _| true);
+    fleet.play(0, 20_000, 33, |_, _| true);
 
     expect_that!(fleet.most_in_a_window(), le(allowed()));
     expect_that!(fleet.most_in_a_window(), ge(QUOTA.per_second * 8.0));
@@ -125,9 +138,9 @@
     let mut fleet = Fleet::new(5);
     let is_together = |a: usize, b: usize| (a < 2) == (b < 2);
 
-    fleet.play(0, 8_000, 3.0 * QUOTA.per_second, |_, _| true);
-    fleet.play(8_000, 24_000, 3.0 * QUOTA.per_second, is_together);
-    fleet.play(24_000, 34_000, 3.0 * QUOTA.per_second, |_, _| true);
+    fleet.play(0, 8_000, 67, |_, _| true);
+    fleet.play(8_000, 24_000, 67, is_together);
+    fleet.play(24_000, 34_000, 67, |_, _| true);
 
     expect_that!(fleet.most_in_a_window(), le(allowed()));
 }
@@ -136,7 +149,7 @@
 fn entries_that_never_hear_each_other_share_the_quota() {
     let mut fleet = Fleet::new(4);
 
-    fleet.play(0, 16_000, 4.0 * QUOTA.per_second, |_, _| false);
+    fleet.play(0, 16_000, 40, |_, _| false);
 
     expect_that!(fleet.most_in_a_window(), le(allowed()));
 }
@@ -144,11 +157,14 @@
 #[gtest]
 fn an_entry_that_is_known_to_be_down_leaves_its_part_to_the_others() {
     let mut fleet = Fleet::new(2);
-    fleet.play(0, 4_000, 2.0 * QUOTA.per_second, |_, _| true);
+    fleet.play(0, 4_000, 40, |_, _| true);
     let now = Monotonic::from_millis(8_000);
     let drained = |quotas: &mut Quotas| {
         let mut units = 0.0;
-        while quotas.take(now, &account(), &QUOTA, demand(1_000.0, 0)).is_ok() {
+        while quotas
+            .take(now, &account(), &QUOTA, demand(1_000.0, 0))
+            .is_ok()
+        {
             units += 1_000.0;
         }
         units
@@ -159,7 +175,12 @@
     down.expect(Monotonic::ZERO, &name(1));
     down.set_down(&name(1));
     for quotas in [&mut silent, &mut down] {
-        let _first = quotas.take(Monotonic::from_millis(7_500), &account(), &QUOTA, demand(60_000.0, 0));
+        let _first = quotas.take(
+            Monotonic::from_millis(7_500),
+            &account(),
+            &QUOTA,
+            demand(60_000.0, 0),
+        );
     }
 
     let (with_silent, with_down) = (drained(&mut silent), drained(&mut down));
@@ -171,7 +192,10 @@
 fn what_is_left_of_a_quota_goes_to_the_more_urgent_route() {
     let mut quotas = Quotas::new(Tolerance::NONE);
     let now = Monotonic::from_millis(10);
-    while quotas.take(now, &account(), &QUOTA, demand(2_000.0, 2)).is_ok() {}
+    while quotas
+        .take(now, &account(), &QUOTA, demand(2_000.0, 2))
+        .is_ok()
+    {}
 
     let draft = quotas.take(now, &account(), &QUOTA, demand(2_000.0, 2));
     let urgent = quotas.take(now, &account(), &QUOTA, demand(2_000.0, 0));
--- a/crates/direct/tests/registry.rs
+++ b/crates/direct/tests/registry.rs
@@ -26,16 +26,19 @@
     }
 }
 
-fn outage(ended_ms: u64, lasted_ms: u64) -> Option<Outage> {
-    Some(Outage {
+fn outage(ended_ms: u64, lasted_ms: u64) -> Outage {
+    Outage {
         ended_at: Monotonic::from_millis(ended_ms),
         lasted: Duration::from_millis(lasted_ms),
-    })
+    }
 }
 
 fn names(registry: &Registry) -> Vec<String> {
     let endpoints = registry.endpoints();
-    endpoints.iter().map(|e| e.name.as_str().to_owned()).collect()
+    endpoints
+        .iter()
+        .map(|e| e.name.as_str().to_owned())
+        .collect()
 }
 
 fn with_two(state_of_second: EndpointState) -> Registry {
@@ -62,7 +65,11 @@
 fn an_endpoint_whose_announcement_lapsed_is_kept_for_a_while() {
     let mut registry = with_two(EndpointState::Ready);
 
-    registry.update(Monotonic::from_millis(9_010), [], outage(9_000, 5_000));
+    registry.update(
+        Monotonic::from_millis(9_010),
+        [],
+        Some(outage(9_000, 5_000)),
+    );
 
     expect_that!(names(&registry), elements_are![eq("a"), eq("b")]);
     expect_that!(registry.expire(Monotonic::from_millis(10_990)), eq(false));
@@ -74,7 +81,11 @@
 fn a_short_outage_lets_nothing_lapse() {
     let mut registry = with_two(EndpointState::Ready);
 
-    registry.update(Monotonic::from_millis(9_010), [], outage(9_000, 1_000));
+    registry.update(
+        Monotonic::from_millis(9_010),
+        [],
+        Some(outage(9_000, 1_000)),
+    );
 
     expect_that!(names(&registry), is_empty());
 }
@@ -83,7 +94,11 @@
 fn a_draining_endpoint_that_is_missing_after_an_outage_is_gone() {
     let mut registry = with_two(EndpointState::Draining);
 
-    registry.update(Monotonic::from_millis(9_010), [], outage(9_000, 5_000));
+    registry.update(
+        Monotonic::from_millis(9_010),
+        [],
+        Some(outage(9_000, 5_000)),
+    );
 
     expect_that!(names(&registry), elements_are![eq("a")]);
 }
@@ -91,10 +106,18 @@
 #[gtest]
 fn an_endpoint_that_comes_back_is_known_once() {
     let mut registry = with_two(EndpointState::Ready);
-    registry.update(Monotonic::from_millis(9_010), [], outage(9_000, 5_000));
+    registry.update(
+        Monotonic::from_millis(9_010),
+        [],
+        Some(outage(9_000, 5_000)),
+    );
 
     let back = [endpoint("a", EndpointState::Draining)];
-    registry.update(Monotonic::from_millis(9_500), back, outage(9_000, 5_000));
+    registry.update(
+        Monotonic::from_millis(9_500),
+        back,
+        Some(outage(9_000, 5_000)),
+    );
 
     let endpoints = registry.endpoints();
     expect_that!(names(&registry), elements_are![eq("a"), eq("b")]);
