--- a/crates/direct/src/dispatcher.rs
+++ b/crates/direct/src/dispatcher.rs
@@ -11,8 +11,10 @@
 use std::time::Duration;
 
 use eelgrassramp::EndpointName;
+use eelgrassramp::EntryName;
 use eelgrassramp::Monotonic;
 use eelgrassramp::PoolName;
+use eelgrassramp::RouteName;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::endpoint::Endpoint;
@@ -22,6 +24,13 @@
 use crate::line::Class;
 use crate::line::Line;
 use crate::line::Waiting;
+use crate::rollout::Comparison;
+use crate::rollout::End;
+use crate::rollout::ExposureLimits;
+use crate::rollout::Order;
+use crate::rollout::Report;
+use crate::rollout::Rollout;
+use crate::rollout::Side;
 
 /// Predicted cost of reading one prompt token, in milliseconds at slowness 1.
 const PROMPT_TOKEN_MS: f64 = 0.02;
@@ -78,6 +87,8 @@
     pub tokens: Option<(u64, u64)>,
     /// Endpoints that had it already.
     pub tried: Vec<EndpointName>,
+    /// Random number from 0 to 1 that decides between versions.
+    pub draw: f64,
 }
 
 impl Ticket {
@@ -90,6 +101,19 @@
     }
 }
 
+/// What an entry counted in one move.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RolloutUse {
+    /// The pool that moves.
+    pub pool: PoolName,
+    /// The order.
+    pub id: u64,
+    /// How it ended, when that is known.
+    pub ended: Option<End>,
+    /// Answers of both versions by route.
+    pub answers: Vec<(RouteName, Comparison)>,
+}
+
 /// What became of a request that asked for an endpoint.
 #[derive(Debug)]
 pub enum Placed {
@@ -106,6 +130,8 @@
 pub struct Grant {
     /// The request's identity within this process.
     pub seq: u64,
+    /// The request's route.
+    pub route: RouteName,
     /// The endpoint.
     pub endpoint: Arc<Endpoint>,
     /// Requests at the endpoint, this one included, as far as known.
@@ -129,6 +155,7 @@
 struct PoolState {
     lanes: BTreeMap<EndpointName, Lane>,
     line: Line<Ticket>,
+    rollout: Option<Rollout>,
     faded_at: Monotonic,
 }
 
@@ -265,7 +292,17 @@
     }
 
     /// Notes the end of a dispatch.
-    pub fn ended(&mut self, now: Monotonic, endpoint: &Endpoint, seq: u64, outcome: Outcome) {
+    pub fn ended(
+        &mut self,
+        now: Monotonic,
+        endpoint: &Endpoint,
+        seq: u64,
+        route: &RouteName,
+        outcome: Outcome,
+    ) {
+        if let Some(pool) = self.pools.get_mut(&endpoint.pool) {
+            pool.judge(endpoint, route, outcome);
+        }
         if let Some(lane) = self.lane_mut(endpoint) {
             lane.end(now, seq, outcome);
         }
@@ -301,8 +338,56 @@
         }
     }
 
+    /// Takes in the operators' orders to move pools; moves that are no longer ordered end.
+    pub fn set_orders(&mut self, now: Monotonic, orders: Vec<Order>, limits: ExposureLimits) {
+        for (name, pool) in &mut self.pools {
+            if !orders.iter().any(|order| order.pool == *name) {
+                pool.rollout = None;
+            }
+        }
+        for order in orders {
+            let pool = self.pool_mut(&order.pool.clone());
+            match &mut pool.rollout {
+                Some(known) if known.order().id == order.id => known.set_ended(order.ended),
+                unknown => *unknown = Some(Rollout::new(now, order, limits)),
+            }
+        }
+    }
+
+    /// Decides whether moves end, and returns what operators are told.
+    pub fn advance(&mut self, now: Monotonic) -> Vec<Report> {
+        let pools = self.pools.values_mut();
+        pools.filter_map(|pool| pool.advance(now)).collect()
+    }
+
+    /// Returns what this entry counted in each move.
+    #[must_use]
+    pub fn rollouts(&self) -> Vec<RolloutUse> {
+        let rollouts = self.pools.values().filter_map(|p| p.rollout.as_ref());
+        let usage = rollouts.map(|rollout| RolloutUse {
+            pool: rollout.order().pool.clone(),
+            id: rollout.order().id,
+            ended: rollout.verdict(),
+            answers: rollout.usage(),
+        });
+        usage.collect()
+    }
+
+    /// Takes in what another entry counted in its moves.
+    pub fn hear_rollouts(&mut self, entry: &EntryName, usage: Vec<RolloutUse>) {
+        for theirs in usage {
+            let pool = self.pools.get_mut(&theirs.pool);
+            let rollout = pool.and_then(|pool| pool.rollout.as_mut());
+            if let Some(rollout) = rollout.filter(|r| r.order().id == theirs.id) {
+                rollout.hear(entry, theirs.answers);
+                rollout.set_ended(theirs.ended);
+            }
+        }
+    }
+
     fn view(&self) -> View {
         View {
+            entries: self.peers + 1,
             domain: self.domain.clone(),
             preference: self.preference,
         }
@@ -312,6 +397,7 @@
         self.pools.entry(name.clone()).or_insert_with(|| PoolState {
             lanes: BTreeMap::new(),
             line: Line::default(),
+            rollout: None,
             faded_at: Monotonic::ZERO,
         })
     }
@@ -328,6 +414,7 @@
 /// What is the same for all pools of an entry.
 #[derive(Debug)]
 struct View {
+    entries: u32,
     domain: Box<str>,
     preference: u64,
 }
@@ -347,6 +434,46 @@
         all.get(all.len() / 2).copied().unwrap_or(1.0)
     }
 
+    /// Chooses between versions; one without an endpoint that takes work leaves the other.
+    fn side(&self, now: Monotonic, ticket: &Ticket, view: &View) -> Side {
+        let Some(rollout) = &self.rollout else {
+            return Side::Old;
+        };
+        let chosen = rollout.choose(now, ticket.draw, view.entries);
+        let mut ready = self.lanes.values().filter(|lane| lane.is_ready());
+        let is_there = ready.any(|lane| rollout.side_of(&lane.endpoint().version) == chosen);
+        match (chosen, is_there) {
+            (Side::New, false) => Side::Old,
+            (side, _) => side,
+        }
+    }
+
+    fn judge(&mut self, endpoint: &Endpoint, route: &RouteName, outcome: Outcome) {
+        let Some(rollout) = &mut self.rollout else {
+            return;
+        };
+        let (is_bad, slowness) = match outcome {
+            Outcome::Served { slowness } => (false, slowness),
+            Outcome::Failed | Outcome::Lost => (true, f64::NAN),
+            Outcome::Refused | Outcome::Unreachable | Outcome::Neutral => return,
+        };
+        rollout.count_answer(route, &endpoint.version, is_bad, slowness);
+    }
+
+    fn advance(&mut self, now: Monotonic) -> Option<Report> {
+        let rollout = self.rollout.as_mut()?;
+        if rollout.is_over(now) {
+            self.rollout = None;
+            return None;
+        }
+        let old = self.lanes.values().filter(|lane| {
+            let version = &lane.endpoint().version;
+            rollout.side_of(version) == Side::Old
+        });
+        let old_in_flight = old.map(Lane::in_flight).sum();
+        rollout.advance(now, old_in_flight)
+    }
+
     fn mean_failures(&self) -> f64 {
         let n = self.lanes.len().max(1) as f64;
         self.lanes.values().map(Lane::failures).sum::<f64>() / n
@@ -381,7 +508,13 @@
         let avoided = |lane: &Lane| lane.is_avoided(now, failures) || lane.is_stalled(now, STALL);
         let total = ready().count() as f64;
         let is_trusted = ready().filter(|l| avoided(l)).count() as f64 <= MAX_AVOIDED_SHARE * total;
+        let side = self.side(now, ticket, view);
+        let is_meant = |lane: &Lane| {
+            let rollout = self.rollout.as_ref();
+            rollout.is_none_or(|r| r.side_of(&lane.endpoint().version) == side)
+        };
         let usable = ready()
+            .filter(|lane| is_meant(lane))
             .filter(|lane| !ticket.tried.contains(&lane.endpoint().name))
             .filter(|lane| lane.busy(now) < lane.slots() + extra)
             .filter(|lane| !(is_trusted && avoided(lane)));
@@ -392,8 +525,13 @@
         let lane = self.lanes.get_mut(&best)?;
         let avoided = lane.is_avoided(now, failures);
         lane.start(now, ticket.seq);
+        if let Some(rollout) = &mut self.rollout {
+            let version = &lane.endpoint().version;
+            rollout.count_sent(&ticket.class.route, version);
+        }
         Some(Grant {
             seq: ticket.seq,
+            route: ticket.class.route.clone(),
             endpoint: Arc::clone(lane.endpoint()),
             busy: lane.busy(now),
             slowness: lane.slowness(),
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -18,6 +18,7 @@
 use eelgrassramp::EntryName;
 use eelgrassramp::Kind;
 use eelgrassramp::PoolName;
+use eelgrassramp::RouteName;
 use rand::Rng;
 use rand::rngs::StdRng;
 use slog::info;
@@ -30,6 +31,7 @@
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::Grant;
 use crate::dispatcher::Placed;
+use crate::dispatcher::RolloutUse;
 use crate::dispatcher::Ticket;
 use crate::dispatcher::Wake;
 use crate::endpoint::Endpoint;
@@ -48,6 +50,10 @@
 use crate::registry::Registry;
 use crate::retry::RetryBudget;
 use crate::retry::RetryLimits;
+use crate::rollout::ExposureLimits;
+use crate::rollout::Order;
+use crate::rollout::Report;
+use crate::rollout::ReportSink;
 
 /// Time between two looks at what waits and at failures that fade.
 const TICK: Duration = Duration::from_millis(50);
@@ -73,6 +79,8 @@
     pub retry: RetryLimits,
     /// How far accounts may go beyond their quotas.
     pub quota: Tolerance,
+    /// How much traffic a new version may get before it is known to be good.
+    pub exposure: ExposureLimits,
 }
 
 /// One entry: what it knows, what waits and what is in flight.
@@ -82,6 +90,8 @@
     caller_protocol: Arc<dyn CallerProtocol>,
     endpoint_protocol: Arc<dyn EndpointProtocol>,
     retry_limits: RetryLimits,
+    exposure: ExposureLimits,
+    reports: Arc<dyn ReportSink>,
     deployment: ArcSwapOption<Deployment>,
     has_tables: Notify,
     endpoints: ArcSwap<Vec<Arc<Endpoint>>>,
@@ -112,6 +122,7 @@
         endpoint_protocol: Arc<dyn EndpointProtocol>,
         fleet_limits: FleetLimits,
         meters: Arc<Meters>,
+        reports: Arc<dyn ReportSink>,
     ) -> Arc<Self> {
         let dispatcher = Dispatcher::new(identity.name.as_str(), identity.domain.as_str());
         Arc::new(Self {
@@ -119,6 +130,8 @@
             caller_protocol,
             endpoint_protocol,
             retry_limits: fleet_limits.retry,
+            exposure: fleet_limits.exposure,
+            reports,
             deployment: ArcSwapOption::empty(),
             has_tables: Notify::new(),
             endpoints: ArcSwap::default(),
@@ -209,6 +222,27 @@
         self.pump();
     }
 
+    /// Takes in the operators' orders to move pools.
+    pub fn set_orders(&self, orders: Vec<Order>) {
+        let now = self.cx.timers.now();
+        for order in &orders {
+            info!(self.cx.log, "move ordered"; "pool" => order.pool.as_str(),
+                "version" => order.target.as_str(), "ended" => ?order.ended,
+                "duration_ms" => u64::try_from(order.duration.as_millis()).unwrap_or(u64::MAX));
+        }
+        let limits = self.exposure;
+        self.lock().dispatcher.set_orders(now, orders, limits);
+    }
+
+    fn tell(&self, reports: Vec<Report>) {
+        for report in reports {
+            info!(self.cx.log, "move decided"; "pool" => report.pool.as_str(),
+                "version" => report.target.as_str(), "ended" => ?report.ended,
+                "reason" => &report.reason);
+            self.reports.report(report);
+        }
+    }
+
     /// Returns the known endpoints.
     #[must_use]
     pub fn endpoints(&self) -> Arc<Vec<Arc<Endpoint>>> {
@@ -232,10 +266,12 @@
             let now = self.cx.timers.now();
             let mut state = self.lock();
             state.dispatcher.tick(now);
+            let reports = state.dispatcher.advance(now);
             let is_waiting = state.dispatcher.all_waiting() > 0;
             let has_expired = state.registry.expire(now);
             let endpoints = has_expired.then(|| state.registry.endpoints());
             drop(state);
+            self.tell(reports);
             if let Some(endpoints) = endpoints {
                 self.use_endpoints(endpoints);
             }
@@ -272,6 +308,7 @@
         Usage {
             in_flight: state.dispatcher.in_flight(),
             accounts: state.quotas.usage(now),
+            rollouts: state.dispatcher.rollouts(),
         }
     }
 
@@ -280,6 +317,7 @@
         let now = self.cx.timers.now();
         let mut state = self.lock();
         state.quotas.hear(now, entry, incarnation, &usage.accounts);
+        state.dispatcher.hear_rollouts(entry, usage.rollouts);
         state.others.insert(entry.clone(), usage.in_flight);
         state.count_others(now);
     }
@@ -420,9 +458,11 @@
         self.lock().dispatcher.answered(now, endpoint, seq, load);
     }
 
-    pub(crate) fn ended(&self, endpoint: &Endpoint, seq: u64, outcome: Outcome) {
+    pub(crate) fn ended(&self, endpoint: &Endpoint, seq: u64, route: &RouteName, outcome: Outcome) {
         let now = self.cx.timers.now();
-        self.lock().dispatcher.ended(now, endpoint, seq, outcome);
+        let mut state = self.lock();
+        state.dispatcher.ended(now, endpoint, seq, route, outcome);
+        drop(state);
         self.pump();
     }
 
@@ -482,7 +522,9 @@
         if let Err(Ok(grant)) = tx.send(result) {
             // The caller left while the place was handed over.
             let outcome = Outcome::Neutral;
-            self.dispatcher.ended(now, &grant.endpoint, seq, outcome);
+            let route = &grant.route;
+            self.dispatcher
+                .ended(now, &grant.endpoint, seq, route, outcome);
         }
     }
 
@@ -503,6 +545,8 @@
     pub in_flight: Vec<(EndpointName, u32)>,
     /// Units by account.
     pub accounts: Vec<AccountUse>,
+    /// Answers in each move.
+    pub rollouts: Vec<RolloutUse>,
 }
 
 /// A place in the line; dropping it leaves the line.
@@ -525,7 +569,8 @@
         // A grant may have been handed over that was not received any more.
         if let Ok(Ok(grant)) = self.rx.try_recv() {
             let outcome = Outcome::Neutral;
-            self.entry.ended(&grant.endpoint, grant.seq, outcome);
+            let route = &grant.route;
+            self.entry.ended(&grant.endpoint, grant.seq, route, outcome);
         }
     }
 }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -19,7 +19,9 @@
 use eelgrassramp::EntryName;
 use eelgrassramp::Error;
 use eelgrassramp::Kind;
+use eelgrassramp::PoolName;
 use eelgrassramp::Result;
+use eelgrassramp::RouteName;
 use http::Method;
 use http::StatusCode;
 use http_body_util::BodyExt;
@@ -44,9 +46,13 @@
 use tokio::net::TcpStream;
 
 use crate::connections;
+use crate::dispatcher::RolloutUse;
 use crate::entry::Entry;
 use crate::entry::Usage;
 use crate::quota::AccountUse;
+use crate::rollout::Answers;
+use crate::rollout::Comparison;
+use crate::rollout::End;
 
 /// Time between two questions to the same entry.
 const PERIOD: Duration = Duration::from_millis(200);
@@ -117,6 +123,7 @@
     in_flight: Vec<(EndpointName, u32)>,
     accounts: Vec<AccountUseWire>,
     is_stopping: bool,
+    rollouts: Vec<RolloutUseWire>,
 }
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -126,6 +133,73 @@
     asked: f64,
 }
 
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct RolloutUseWire {
+    pool: PoolName,
+    id: u64,
+    is_completed: bool,
+    is_rolled_back: bool,
+    answers: Vec<(RouteName, AnswersWire, AnswersWire)>,
+}
+
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct AnswersWire(f64, f64, f64, f64, f64);
+
+impl From<Answers> for AnswersWire {
+    fn from(a: Answers) -> Self {
+        Self(a.sent, a.answered, a.bad, a.timed, a.slowness)
+    }
+}
+
+impl From<AnswersWire> for Answers {
+    fn from(AnswersWire(sent, answered, bad, timed, slowness): AnswersWire) -> Self {
+        Self {
+            sent,
+            answered,
+            bad,
+            timed,
+            slowness,
+        }
+    }
+}
+
+impl From<RolloutUse> for RolloutUseWire {
+    fn from(usage: RolloutUse) -> Self {
+        let answers = usage.answers.into_iter();
+        Self {
+            pool: usage.pool,
+            id: usage.id,
+            is_completed: usage.ended == Some(End::Completed),
+            is_rolled_back: usage.ended == Some(End::RolledBack),
+            answers: answers
+                .map(|(route, c)| (route, c.new.into(), c.old.into()))
+                .collect(),
+        }
+    }
+}
+
+impl From<RolloutUseWire> for RolloutUse {
+    fn from(wire: RolloutUseWire) -> Self {
+        let ended = match (wire.is_rolled_back, wire.is_completed) {
+            (true, _) => Some(End::RolledBack),
+            (false, true) => Some(End::Completed),
+            (false, false) => None,
+        };
+        let answers = wire.answers.into_iter();
+        Self {
+            pool: wire.pool,
+            id: wire.id,
+            ended,
+            answers: answers
+                .map(|(route, new, old)| {
+                    let (new, old) = (new.into(), old.into());
+                    (route, Comparison { new, old })
+                })
+                .collect(),
+        }
+    }
+}
+
 impl From<AccountUse> for AccountUseWire {
     fn from(usage: AccountUse) -> Self {
         Self {
@@ -156,6 +230,7 @@
             endpoints: freshness.endpoints,
             in_flight: usage.in_flight,
             accounts: usage.accounts.into_iter().map(Into::into).collect(),
+            rollouts: usage.rollouts.into_iter().map(Into::into).collect(),
             is_stopping: entry.cx().stop.is_cancelled(),
         }
     }
@@ -166,6 +241,7 @@
         Self {
             in_flight: wire.in_flight,
             accounts: wire.accounts.into_iter().map(Into::into).collect(),
+            rollouts: wire.rollouts.into_iter().map(Into::into).collect(),
         }
     }
 }
--- a/crates/direct/src/flight.rs
+++ b/crates/direct/src/flight.rs
@@ -117,7 +117,8 @@
     fn end(&mut self, outcome: Outcome) {
         if !self.is_over {
             self.is_over = true;
-            self.entry.ended(&self.endpoint, self.seq, outcome);
+            let route = &self.story.route;
+            self.entry.ended(&self.endpoint, self.seq, route, outcome);
         }
     }
 }
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -151,6 +151,7 @@
                 .prompt_tokens
                 .map(|prompt| (prompt, self.call.output_tokens.unwrap_or(0))),
             tried: self.tried.clone(),
+            draw: f64::from(self.entry.draw()) / f64::from(u32::MAX),
         };
         self.entry.acquire(ticket).await
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod registry;
 mod relay;
 pub mod retry;
+pub mod rollout;
 mod server;
 
 pub use self::entry::Entry;
