A plain answer ends at its length; silence is told from what an endpoint sends

The server stops reading a body once its stated length is written, so such answers never counted as served and their connections were closed. And a caller that gave up on a silent endpoint (73 requests in 8 s) counted as neutral, so the endpoint got more.

--- a/crates/direct/src/connections.rs
+++ b/crates/direct/src/connections.rs
@@ -144,7 +144,7 @@
 
     /// Keeps a connection on which a whole answer has just been read.
     pub fn put(&self, connection: Connection, stated: Option<Duration>) {
-        if !connection.tx.is_ready() || connection.tx.is_closed() {
+        if connection.tx.is_closed() {
             return;
         }
         let keep = stated.map_or(DEFAULT_IDLE, |d| d.mul_f64(IDLE_SHARE));
--- a/crates/direct/src/dispatcher.rs
+++ b/crates/direct/src/dispatcher.rs
@@ -54,7 +54,7 @@
 const EXTRA_PLACES: [u32; 1] = [1];
 
 /// Time without any answer after which an endpoint counts as stalled.
-const STALL: Duration = Duration::from_millis(1_500);
+const STALL: Duration = Duration::from_millis(800);
 
 /// Time in which the moving averages of failures halve.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
@@ -276,27 +276,27 @@
     }
 
     /// Notes that the head of an answer came.
-    pub fn answered(
-        &mut self,
-        now: Monotonic,
-        endpoint: &Endpoint,
-        seq: u64,
-        load: Option<ReportedLoad>,
-    ) {
+    pub fn answered(&mut self, now: Monotonic, endpoint: &Endpoint, load: Option<ReportedLoad>) {
         if let Some(lane) = self.lane_mut(endpoint) {
-            lane.answered(now, seq);
+            lane.heard(now);
             if let Some(load) = load {
                 lane.report(now, load);
             }
         }
     }
 
+    /// Notes that an endpoint is sending parts of an answer.
+    pub fn heard(&mut self, now: Monotonic, endpoint: &Endpoint) {
+        if let Some(lane) = self.lane_mut(endpoint) {
+            lane.heard(now);
+        }
+    }
+
     /// Notes the end of a dispatch.
     pub fn ended(
         &mut self,
         now: Monotonic,
         endpoint: &Endpoint,
-        seq: u64,
         route: &RouteName,
         outcome: Outcome,
     ) {
@@ -304,7 +304,7 @@
             pool.judge(endpoint, route, outcome);
         }
         if let Some(lane) = self.lane_mut(endpoint) {
-            lane.end(now, seq, outcome);
+            lane.end(now, outcome);
         }
     }
 
@@ -454,7 +454,7 @@
         };
         let (is_bad, slowness) = match outcome {
             Outcome::Served { slowness } => (false, slowness),
-            Outcome::Failed | Outcome::Lost => (true, f64::NAN),
+            Outcome::Failed | Outcome::Lost | Outcome::Silent => (true, f64::NAN),
             Outcome::Refused | Outcome::Unreachable | Outcome::Neutral => return,
         };
         rollout.count_answer(route, &endpoint.version, is_bad, slowness);
@@ -516,7 +516,7 @@
         let usable = ready()
             .filter(|lane| is_meant(lane))
             .filter(|lane| !ticket.tried.contains(&lane.endpoint().name))
-            .filter(|lane| lane.busy(now) < lane.slots() + extra)
+            .filter(|lane| lane.has_place(now, extra))
             .filter(|lane| !(is_trusted && avoided(lane)));
         let best = usable
             .map(|lane| (view.score(now, lane), lane))
@@ -524,7 +524,7 @@
             .map(|(_, lane)| lane.endpoint().name.clone())?;
         let lane = self.lanes.get_mut(&best)?;
         let avoided = lane.is_avoided(now, failures);
-        lane.start(now, ticket.seq);
+        lane.start(now);
         if let Some(rollout) = &mut self.rollout {
             let version = &lane.endpoint().version;
             rollout.count_sent(&ticket.class.route, version);
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -453,15 +453,21 @@
         }
     }
 
-    pub(crate) fn answered(&self, endpoint: &Endpoint, seq: u64, load: Option<ReportedLoad>) {
+    pub(crate) fn answered(&self, endpoint: &Endpoint, load: Option<ReportedLoad>) {
         let now = self.cx.timers.now();
-        self.lock().dispatcher.answered(now, endpoint, seq, load);
+        self.lock().dispatcher.answered(now, endpoint, load);
     }
 
-    pub(crate) fn ended(&self, endpoint: &Endpoint, seq: u64, route: &RouteName, outcome: Outcome) {
+    /// Notes that an endpoint is sending parts of an answer.
+    pub(crate) fn heard(&self, endpoint: &Endpoint) {
+        let now = self.cx.timers.now();
+        self.lock().dispatcher.heard(now, endpoint);
+    }
+
+    pub(crate) fn ended(&self, endpoint: &Endpoint, route: &RouteName, outcome: Outcome) {
         let now = self.cx.timers.now();
         let mut state = self.lock();
-        state.dispatcher.ended(now, endpoint, seq, route, outcome);
+        state.dispatcher.ended(now, endpoint, route, outcome);
         drop(state);
         self.pump();
     }
@@ -523,8 +529,7 @@
             // The caller left while the place was handed over.
             let outcome = Outcome::Neutral;
             let route = &grant.route;
-            self.dispatcher
-                .ended(now, &grant.endpoint, seq, route, outcome);
+            self.dispatcher.ended(now, &grant.endpoint, route, outcome);
         }
     }
 
@@ -570,7 +575,7 @@
         if let Ok(Ok(grant)) = self.rx.try_recv() {
             let outcome = Outcome::Neutral;
             let route = &grant.route;
-            self.entry.ended(&grant.endpoint, grant.seq, route, outcome);
+            self.entry.ended(&grant.endpoint, route, outcome);
         }
     }
 }
--- a/crates/direct/src/flight.rs
+++ b/crates/direct/src/flight.rs
@@ -1,6 +1,7 @@
 //! One dispatch in flight: accounts for it until it ends, however it ends.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use eelgrassramp::Error;
 use eelgrassramp::Monotonic;
@@ -19,6 +20,12 @@
 /// Time of a plain request at slowness 1, in milliseconds.
 const PLAIN_MS: f64 = 30.0;
 
+/// Time between two notes that an endpoint is still sending.
+const TELL_PERIOD: Duration = Duration::from_millis(150);
+
+/// Silence after which a caller that leaves speaks against the endpoint.
+const LOST_AFTER: Duration = Duration::from_millis(900);
+
 /// Pieces of a stream from which its pace is told.
 const MIN_PIECES: u32 = 4;
 
@@ -26,35 +33,29 @@
 pub(crate) struct Flight {
     entry: Arc<Entry>,
     endpoint: Arc<Endpoint>,
-    seq: u64,
     started: Monotonic,
     answered: Option<Monotonic>,
     pieces: u32,
     bytes: u64,
     is_stream: bool,
     is_over: bool,
+    told_at: Monotonic,
     pub(crate) story: Story,
 }
 
 impl Flight {
-    pub(crate) fn new(
-        entry: Arc<Entry>,
-        grant: &Grant,
-        seq: u64,
-        is_stream: bool,
-        story: Story,
-    ) -> Self {
+    pub(crate) fn new(entry: Arc<Entry>, grant: &Grant, is_stream: bool, story: Story) -> Self {
         let started = entry.cx().timers.now();
         Self {
             entry,
             endpoint: Arc::clone(&grant.endpoint),
-            seq,
             started,
             answered: None,
             pieces: 0,
             bytes: 0,
             is_stream,
             is_over: false,
+            told_at: started,
             story,
         }
     }
@@ -67,17 +68,26 @@
     pub(crate) fn answered(&mut self, load: Option<ReportedLoad>) {
         let now = self.entry.cx().timers.now();
         self.answered = Some(now);
-        self.entry.answered(&self.endpoint, self.seq, load);
+        self.told_at = now;
+        self.entry.answered(&self.endpoint, load);
     }
 
     /// Counts a piece of the answer.
-    pub(crate) const fn count_bytes(&mut self, n: usize) {
+    pub(crate) fn count_bytes(&mut self, n: u64) {
         self.pieces += 1;
-        self.bytes += n as u64;
+        self.bytes += n;
+        let now = self.entry.cx().timers.now();
+        if now.since(self.told_at) > TELL_PERIOD {
+            self.told_at = now;
+            self.entry.heard(&self.endpoint);
+        }
     }
 
     /// Notes that the whole answer came; `is_failure` tells that it is the endpoint's failure.
     pub(crate) fn finish(&mut self, is_failure: bool) {
+        if self.is_over {
+            return;
+        }
         let outcome = if is_failure {
             Outcome::Failed
         } else {
@@ -118,7 +128,7 @@
         if !self.is_over {
             self.is_over = true;
             let route = &self.story.route;
-            self.entry.ended(&self.endpoint, self.seq, route, outcome);
+            self.entry.ended(&self.endpoint, route, outcome);
         }
     }
 }
@@ -126,7 +136,13 @@
 impl Drop for Flight {
     fn drop(&mut self) {
         if !self.is_over {
-            self.end(Outcome::Neutral);
+            let now = self.entry.cx().timers.now();
+            let is_silent = now.since(self.told_at) > LOST_AFTER;
+            self.end(if is_silent {
+                Outcome::Silent
+            } else {
+                Outcome::Neutral
+            });
             self.story.ended(&self.entry, Ending::CallerGone);
         }
     }
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -198,7 +198,7 @@
         let is_stream = matches!(self.route.kind, RouteKind::Streaming { .. });
         let story = self.story.clone();
         let entry = Arc::clone(&self.entry);
-        let mut flight = Flight::new(entry, grant, grant.seq, is_stream, story);
+        let mut flight = Flight::new(entry, grant, is_stream, story);
         let result = self.exchange(grant, &mut flight).await;
         match result {
             Ok((resp, head, connection)) => Ok(self.accept(resp, head, connection, flight)),
@@ -335,6 +335,7 @@
             deadline: Box::pin(async move { timers.until(ends_at).await }),
             events: is_stream.then(EventSplitter::default),
             forwarding: can_resume.then(|| Box::new(self.clone())),
+            remaining: content_length(&parts.headers),
             is_framed,
             is_failure: parts.status.is_server_error(),
         };
@@ -372,6 +373,10 @@
     }
 }
 
+fn content_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
 fn unreachable(endpoint: &Endpoint, e: std::io::Error) -> Failure {
     let detail = format!("endpoint {} at {}", endpoint.name, endpoint.address);
     Failure {
@@ -390,7 +395,7 @@
     );
     Failure {
         error: Error::new(Kind::DeadlineExceeded, detail),
-        outcome: Outcome::Lost,
+        outcome: Outcome::Silent,
         is_unrun: false,
         has_arrived: true,
     }
--- a/crates/direct/src/lane.rs
+++ b/crates/direct/src/lane.rs
@@ -45,8 +45,10 @@
     Refused,
     /// The endpoint answered with a failure of its own.
     Failed,
-    /// The connection broke, or no answer came.
+    /// The connection broke before the answer was whole.
     Lost,
+    /// Nothing came for so long that the endpoint may not live any more.
+    Silent,
     /// No connection could be made.
     Unreachable,
     /// The caller left, or the request was moved; this tells nothing about the endpoint.
@@ -58,8 +60,8 @@
 pub struct Lane {
     endpoint: Arc<Endpoint>,
     in_flight: u32,
-    /// Requests that await the head of an answer, oldest first.
-    unanswered: Vec<(u64, Monotonic)>,
+    /// When the last request was sent.
+    sent_at: Monotonic,
     others: u32,
     others_at: Option<Monotonic>,
     report: Option<(Monotonic, ReportedLoad, u32)>,
@@ -77,7 +79,7 @@
         Self {
             endpoint,
             in_flight: 0,
-            unanswered: Vec::new(),
+            sent_at: Monotonic::ZERO,
             others: 0,
             others_at: None,
             report: None,
@@ -125,21 +127,21 @@
     }
 
     /// Counts a dispatch.
-    pub fn start(&mut self, now: Monotonic, seq: u64) {
+    pub const fn start(&mut self, now: Monotonic) {
+        if self.in_flight == 0 {
+            self.sent_at = now;
+        }
         self.in_flight += 1;
-        self.unanswered.push((seq, now));
     }
 
-    /// Notes that the head of an answer came.
-    pub fn answered(&mut self, now: Monotonic, seq: u64) {
-        self.unanswered.retain(|(s, _)| *s != seq);
+    /// Notes that the endpoint sent something.
+    pub const fn heard(&mut self, now: Monotonic) {
         self.heard_at = now;
     }
 
     /// Notes the end of a dispatch.
-    pub fn end(&mut self, now: Monotonic, seq: u64, outcome: Outcome) {
+    pub fn end(&mut self, now: Monotonic, outcome: Outcome) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        self.unanswered.retain(|(s, _)| *s != seq);
         match outcome {
             Outcome::Served { slowness } => self.serve(now, slowness),
             Outcome::Refused => self.heard_at = now,
@@ -147,7 +149,8 @@
                 self.heard_at = now;
                 self.fail();
             }
-            Outcome::Lost => {
+            Outcome::Lost => self.fail(),
+            Outcome::Silent => {
                 self.fail();
                 self.eject(now);
             }
@@ -201,11 +204,21 @@
         self.ejected_until > now || fails
     }
 
-    /// Tells whether requests have awaited an answer for longer than `limit` with nothing heard.
+    /// Tells whether nothing was heard for longer than `limit` although requests are in flight.
     #[must_use]
     pub fn is_stalled(&self, now: Monotonic, limit: Duration) -> bool {
-        let oldest = self.unanswered.iter().map(|(_, at)| *at).min();
-        oldest.is_some_and(|at| now.since(at.max(self.heard_at)) > limit)
+        self.in_flight > 0 && now.since(self.sent_at.max(self.heard_at)) > limit
+    }
+
+    /// Tells whether the endpoint may get one more request, `extra` beyond its places.
+    ///
+    /// One that has failed to answer is tried with a single request.
+    #[must_use]
+    pub fn has_place(&self, now: Monotonic, extra: u32) -> bool {
+        if self.strikes > 0 {
+            return self.in_flight == 0;
+        }
+        self.busy(now) < self.slots() + extra
     }
 
     /// Lets the moving average of failures fade, so that an avoided endpoint is tried again.
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -37,6 +37,11 @@
     pub(crate) events: Option<EventSplitter>,
     /// Set while another endpoint could continue the stream.
     pub(crate) forwarding: Option<Box<Forwarding>>,
+    /// Bytes of the body that are still to come, where the answer states its length.
+    ///
+    /// The server stops asking for data once it has written that many, so the end of such an
+    /// answer is noticed here.
+    pub(crate) remaining: Option<u64>,
     /// Whether the endpoint's answer states its own end, by a length or by chunks.
     pub(crate) is_framed: bool,
     pub(crate) is_failure: bool,
@@ -60,6 +65,9 @@
             match self.read().await {
                 Ok(Some(data)) => {
                     let out = self.pass(data);
+                    if self.remaining == Some(0) {
+                        self.settle();
+                    }
                     if !out.is_empty() {
                         return Some(Ok(Frame::data(out)));
                     }
@@ -114,18 +122,25 @@
     }
 
     fn pass(&mut self, data: Bytes) -> Bytes {
-        self.flight.count_bytes(data.len());
+        let len = data.len() as u64;
+        self.flight.count_bytes(len);
+        self.remaining = self.remaining.map(|left| left.saturating_sub(len));
         match &mut self.events {
             Some(events) => events.push(&data),
             None => data,
         }
     }
 
-    fn end(&mut self) -> Option<Result<Frame<Bytes>>> {
+    /// Notes that the whole answer has been read.
+    fn settle(&mut self) {
         if let Some(connection) = self.connection.take() {
             self.entry.connections().put(connection, self.keep_alive);
         }
         self.flight.finish(self.is_failure);
+    }
+
+    fn end(&mut self) -> Option<Result<Frame<Bytes>>> {
+        self.settle();
         let rest = self.events.as_mut().map(EventSplitter::take_partial);
         rest.filter(|rest| !rest.is_empty())
             .map(|rest| Ok(Frame::data(rest)))
--- /dev/null
+++ b/crates/direct/tests/dispatcher.rs
@@ -0,0 +1,296 @@
+//! Which request goes to which endpoint, and when.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassramp::DomainName;
+use eelgrassramp::EndpointName;
+use eelgrassramp::Monotonic;
+use eelgrassramp::PoolName;
+use eelgrassramp::RouteName;
+use eelgrassramp::VersionName;
+use eelgrassramp_direct::dispatcher::Dispatcher;
+use eelgrassramp_direct::dispatcher::Grant;
+use eelgrassramp_direct::dispatcher::Placed;
+use eelgrassramp_direct::dispatcher::Ticket;
+use eelgrassramp_direct::dispatcher::Wake;
+use eelgrassramp_direct::endpoint::Endpoint;
+use eelgrassramp_direct::endpoint::EndpointState;
+use eelgrassramp_direct::lane::Outcome;
+use eelgrassramp_direct::line::Class;
+use eelgrassramp_direct::line::Urgency;
+use googletest::prelude::*;
+
+const SLOTS: u32 = 2;
+
+fn endpoint(name: &str, domain: &str, state: EndpointState) -> Arc<Endpoint> {
+    Arc::new(Endpoint {
+        name: EndpointName::from(name),
+        started_ms: Some(1),
+        pool: PoolName::from("drafts"),
+        address: "10.0.0.1:80".parse().expect("the address is valid"),
+        domain: DomainName::from(domain),
+        version: VersionName::from("v1"),
+        slots: SLOTS,
+        state,
+    })
+}
+
+fn ready(name: &str) -> Arc<Endpoint> {
+    endpoint(name, "a", EndpointState::Ready)
+}
+
+fn dispatcher(endpoints: &[Arc<Endpoint>]) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new("entry-1", "a");
+    dispatcher.set_endpoints(endpoints);
+    dispatcher
+}
+
+fn at(ms: u64) -> Monotonic {
+    Monotonic::from_millis(ms)
+}
+
+fn ticket(seq: u64, rank: u32, arrived_ms: u64) -> Ticket {
+    let arrived = at(arrived_ms);
+    Ticket {
+        seq,
+        pool: PoolName::from("drafts"),
+        class: Class {
+            urgency: Urgency::new(None, rank),
+            route: RouteName::new(format!("route-{rank}")),
+        },
+        arrived,
+        start_by: arrived + Duration::from_millis(300),
+        give_up_at: arrived + Duration::from_secs(2),
+        tokens: None,
+        tried: Vec::new(),
+        draw: 0.5,
+    }
+}
+
+fn granted(placed: Placed) -> Option<Grant> {
+    match placed {
+        Placed::Granted(grant) => Some(grant),
+        Placed::Waits | Placed::Refused(_) => None,
+    }
+}
+
+fn end(dispatcher: &mut Dispatcher, ms: u64, grant: &Grant, outcome: Outcome) {
+    dispatcher.ended(at(ms), &grant.endpoint, &grant.route, outcome);
+}
+
+/// Returns the requests that were granted a place.
+fn seqs(wakes: &[Wake]) -> Vec<u64> {
+    let granted = wakes.iter().filter_map(|wake| match wake {
+        Wake::Granted(seq, _) => Some(*seq),
+        Wake::Expired(..) => None,
+    });
+    granted.collect()
+}
+
+const SERVED: Outcome = Outcome::Served { slowness: 1.0 };
+
+#[gtest]
+fn an_endpoint_gets_no_more_than_it_can_run() {
+    let mut dispatcher = dispatcher(&[ready("a"), ready("b")]);
+
+    let grants: Vec<_> = (0..6)
+        .filter_map(|seq| granted(dispatcher.enter(at(0), ticket(seq, 2, 0))))
+        .collect();
+
+    expect_that!(grants.len(), eq(2 * SLOTS as usize));
+    expect_that!(dispatcher.all_waiting(), eq(2));
+}
+
+#[gtest]
+fn the_most_urgent_route_has_an_extra_place_inside_each_endpoint() {
+    let mut dispatcher = dispatcher(&[ready("a")]);
+    for seq in 0..u64::from(SLOTS) {
+        dispatcher.enter(at(0), ticket(seq, 2, 0));
+    }
+
+    dispatcher.enter(at(0), ticket(10, 1, 0));
+    dispatcher.enter(at(0), ticket(11, 0, 0));
+    let wakes = dispatcher.pump(at(0));
+
+    expect_that!(seqs(&wakes), elements_are![eq(&11)]);
+    expect_that!(dispatcher.all_waiting(), eq(1));
+}
+
+#[gtest]
+fn work_that_other_entries_told_of_takes_places() {
+    let mut dispatcher = dispatcher(&[ready("a")]);
+    let others = HashMap::from([(EndpointName::from("a"), SLOTS)]);
+    dispatcher.set_others(at(0), 1, &others);
+
+    dispatcher.enter(at(100), ticket(1, 2, 100));
+    let while_fresh = dispatcher.pump(at(900));
+    let when_stale = dispatcher.pump(at(1_100));
+
+    expect_that!(seqs(&while_fresh), is_empty());
+    expect_that!(seqs(&when_stale), elements_are![eq(&1)]);
+}
+
+#[gtest]
+fn a_free_place_goes_to_the_most_urgent_that_waits() {
+    let mut dispatcher = dispatcher(&[ready("a")]);
+    let first = granted(dispatcher.enter(at(0), ticket(1, 2, 0))).expect("a place is free");
+    dispatcher.enter(at(0), ticket(2, 2, 0));
+    dispatcher.enter(at(1), ticket(3, 2, 1));
+    dispatcher.enter(at(2), ticket(4, 1, 2));
+
+    end(&mut dispatcher, 10, &first, SERVED);
+    let wakes = dispatcher.pump(at(10));
+
+    expect_that!(seqs(&wakes), elements_are![eq(&4)]);
+}
+
+#[gtest]
+fn a_draining_endpoint_gets_nothing_and_what_waited_goes_elsewhere() {
+    let mut dispatcher = dispatcher(&[ready("a")]);
+    dispatcher.set_endpoints(&[endpoint("a", "a", EndpointState::Draining), ready("b")]);
+
+    let grant = granted(dispatcher.enter(at(0), ticket(1, 0, 0)));
+
+    let name = grant.map(|g| g.endpoint.name.as_str().to_owned());
+    expect_that!(name, some(eq("b")));
+}
+
+#[gtest]
+fn an_endpoint_that_had_the_request_does_not_get_it_again() {
+    let mut dispatcher = dispatcher(&[ready("a")]);
+    let mut again = ticket(1, 0, 0);
+    again.tried.push(EndpointName::from("a"));
+
+    let placed = dispatcher.enter(at(0), again);
+
+    expect_that!(granted(placed).is_some(), eq(false));
+}
+
+#[gtest]
+fn a_silent_endpoint_is_left_alone_and_then_tried_with_one_request() {
+    let mut dispatcher = dispatcher(&[ready("a"), ready("b"), ready("c")]);
+    let grants: Vec<_> = (0..6)
+        .filter_map(|seq| granted(dispatcher.enter(at(0), ticket(seq, 2, 0))))
+        .collect();
+    for grant in &grants {
+        let is_a = grant.endpoint.name.as_str() == "a";
+        let outcome = if is_a { Outcome::Silent } else { SERVED };
+        end(&mut dispatcher, 900, grant, outcome);
+    }
+
+    let soon = take_all(&mut dispatcher, 950, 10);
+    dispatcher.tick(at(4_000));
+    let later = take_all(&mut dispatcher, 4_000, 20);
+
+    expect_that!(soon.get("a"), none());
+    expect_that!(later.get("a"), some(eq(&1)));
+}
+
+/// Takes all places that are free at `ms`, and returns how many each endpoint had.
+fn take_all(dispatcher: &mut Dispatcher, ms: u64, seq: u64) -> HashMap<String, u32> {
+    let mut taken = HashMap::new();
+    let mut grants = Vec::new();
+    for seq in seq..seq + 8 {
+        let ticket = ticket(seq, 2, ms);
+        match dispatcher.enter(at(ms), ticket.clone()) {
+            Placed::Granted(grant) => grants.push(grant),
+            Placed::Waits => dispatcher.leave(&ticket),
+            Placed::Refused(_) => {}
+        }
+    }
+    for grant in grants {
+        *taken
+            .entry(grant.endpoint.name.as_str().to_owned())
+            .or_insert(0) += 1;
+        if grant.endpoint.name.as_str() != "a" {
+            end(dispatcher, ms + 10, &grant, SERVED);
+        }
+    }
+    taken
+}
+
+#[gtest]
+fn an_endpoint_that_sends_nothing_while_it_has_work_gets_no_more() {
+    let mut dispatcher = dispatcher(&[ready("a"), ready("b"), ready("c")]);
+    let first = granted(dispatcher.enter(at(0), ticket(1, 2, 0))).expect("places are free");
+
+    let names: Vec<String> = (2..6)
+        .filter_map(|seq| granted(dispatcher.enter(at(1_000), ticket(seq, 2, 1_000))))
+        .map(|grant| grant.endpoint.name.as_str().to_owned())
+        .collect();
+
+    expect_that!(names.len(), eq(4));
+    expect_that!(names, not(contains(eq(first.endpoint.name.as_str()))));
+}
+
+#[gtest]
+fn endpoints_are_used_when_all_are_suspected() {
+    let mut dispatcher = dispatcher(&[ready("a"), ready("b")]);
+    for seq in 0..4 {
+        let grant = granted(dispatcher.enter(at(0), ticket(seq, 2, 0))).expect("places are free");
+        end(&mut dispatcher, 10, &grant, Outcome::Failed);
+    }
+
+    let grant = granted(dispatcher.enter(at(20), ticket(9, 2, 20)));
+
+    expect_that!(grant.is_some(), eq(true));
+}
+
+#[gtest]
+fn a_faster_endpoint_goes_first() {
+    let mut dispatcher = dispatcher(&[ready("a"), ready("b")]);
+    for round in 0..40 {
+        for seq in 0..4 {
+            let ticket = ticket(round * 10 + seq, 2, round * 100);
+            let grant =
+                granted(dispatcher.enter(at(round * 100), ticket)).expect("places are free");
+            let slowness = if grant.endpoint.name.as_str() == "b" {
+                0.5
+            } else {
+                2.0
+            };
+            end(
+                &mut dispatcher,
+                round * 100 + 50,
+                &grant,
+                Outcome::Served { slowness },
+            );
+        }
+    }
+
+    let grant = granted(dispatcher.enter(at(9_000), ticket(999, 2, 9_000)));
+
+    let name = grant.map(|g| g.endpoint.name.as_str().to_owned());
+    expect_that!(name, some(eq("b")));
+}
+
+#[gtest]
+fn a_request_that_waited_too_long_is_refused_with_a_time_to_come_back() {
+    let mut dispatcher = dispatcher(&[]);
+    dispatcher.enter(at(0), ticket(1, 0, 0));
+
+    let wakes = dispatcher.pump(at(2_000));
+
+    expect_that!(wakes.len(), eq(1));
+    let Wake::Expired(seq, wait) = &wakes[0] else {
+        panic!("the request was granted")
+    };
+    expect_that!(*seq, eq(1));
+    expect_that!(*wait, ge(Duration::from_millis(300)));
+}
+
+#[gtest]
+fn an_incarnation_at_a_new_address_starts_afresh() {
+    let mut dispatcher = dispatcher(&[ready("a")]);
+    let old = granted(dispatcher.enter(at(0), ticket(1, 2, 0))).expect("a place is free");
+    let mut moved = (*ready("a")).clone();
+    moved.started_ms = Some(2);
+    dispatcher.set_endpoints(&[Arc::new(moved)]);
+
+    end(&mut dispatcher, 10, &old, Outcome::Silent);
+    let grants = (2..5).filter_map(|seq| granted(dispatcher.enter(at(20), ticket(seq, 2, 20))));
+
+    expect_that!(grants.count(), eq(SLOTS as usize));
+}
