Log lines with budgets, what decided each request, and a command that explains one

Cause: on-call engineers have logs alone; a line said neither account, tables version nor the age of what was known, volume had no bound, and nothing joined the lines of one request. Before: no bound.

--- a/crates/direct/src/dispatcher.rs
+++ b/crates/direct/src/dispatcher.rs
@@ -138,6 +138,8 @@
     pub busy: u32,
     /// The endpoint's slowness as far as known.
     pub slowness: f64,
+    /// Age of what the other entries told of their work there.
+    pub others_age: Option<Duration>,
     /// Whether the endpoint was chosen although it is avoided.
     pub avoided: bool,
 }
@@ -535,6 +537,7 @@
             endpoint: Arc::clone(lane.endpoint()),
             busy: lane.busy(now),
             slowness: lane.slowness(),
+            others_age: lane.others_age(now),
             avoided,
         })
     }
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -36,6 +36,8 @@
 use crate::dispatcher::Wake;
 use crate::endpoint::Endpoint;
 use crate::endpoint::ReportedLoad;
+use crate::journal;
+use crate::journal::LogBudget;
 use crate::lane::Outcome;
 use crate::meters::Gauge;
 use crate::meters::Meters;
@@ -97,6 +99,7 @@
     endpoints: ArcSwap<Vec<Arc<Endpoint>>>,
     connections: Arc<Connections>,
     meters: Arc<Meters>,
+    log_budget: LogBudget,
     seq: AtomicU64,
     state: Mutex<State>,
 }
@@ -137,6 +140,7 @@
             endpoints: ArcSwap::default(),
             connections: Connections::new(cx),
             meters,
+            log_budget: LogBudget::default(),
             seq: AtomicU64::new(1),
             state: Mutex::new(State {
                 dispatcher,
@@ -280,6 +284,7 @@
             }
             if n.is_multiple_of(TICKS_PER_SWEEP) {
                 self.connections.sweep(&self.endpoints());
+                journal::tell_left_out(&self);
             }
         }
     }
@@ -349,6 +354,10 @@
         self.lock().quotas.forget(entry);
     }
 
+    pub(crate) const fn log_budget(&self) -> &LogBudget {
+        &self.log_budget
+    }
+
     pub(crate) fn caller_protocol(&self) -> &dyn CallerProtocol {
         &*self.caller_protocol
     }
--- a/crates/direct/src/flight.rs
+++ b/crates/direct/src/flight.rs
@@ -96,13 +96,15 @@
             }
         };
         self.end(outcome);
-        self.story.ended(
-            &self.entry,
+        let ending = if is_failure {
+            Ending::EndpointFailed
+        } else {
             Ending::Answered {
                 bytes: self.bytes,
                 pieces: self.pieces,
-            },
-        );
+            }
+        };
+        self.story.ended(&self.entry, &self.endpoint, ending);
     }
 
     /// Notes that the dispatch ended without a whole answer.
@@ -143,7 +145,8 @@
             } else {
                 Outcome::Neutral
             });
-            self.story.ended(&self.entry, Ending::CallerGone);
+            self.story
+                .ended(&self.entry, &self.endpoint, Ending::CallerGone);
         }
     }
 }
--- a/crates/direct/src/handle.rs
+++ b/crates/direct/src/handle.rs
@@ -62,13 +62,15 @@
     let mut story = Story {
         id: Arc::from(NO_ID),
         route: RouteName::from(NO_ROUTE),
+        account: None,
+        tables: 0,
         arrived,
     };
     let mut resp = match answer(&entry, &mut story, parts, body).await {
         Ok(resp) => resp,
         Err(refusal) => {
             let waiting = entry.all_waiting();
-            story.refused(&entry, &refusal.error, waiting);
+            story.refused(&entry, &refusal.error, refusal.wait(), waiting);
             refuse(&entry, &refusal)
         }
     };
@@ -92,9 +94,11 @@
         let detail = "no tables are known yet";
         Refusal::later(Kind::PoolUnavailable, detail, TABLES_RETRY_AFTER)
     })?;
+    story.tables = deployment.version();
     let route = find_route(&deployment, &parts)?;
     story.route = route.name.clone();
     let account = find_account(&deployment, &route, &call)?;
+    story.account = account.as_ref().map(|a| a.name.clone());
     let body = receive(entry, &deployment, body).await?;
     let pool = route.pool(entry.draw()).cloned().ok_or_else(|| {
         let detail = format!("route \"{}\" names no pool", route.name);
--- a/crates/direct/src/lane.rs
+++ b/crates/direct/src/lane.rs
@@ -191,6 +191,12 @@
         self.in_flight + others
     }
 
+    /// Returns how long ago the other entries told of their work.
+    #[must_use]
+    pub fn others_age(&self, now: Monotonic) -> Option<Duration> {
+        self.others_at.map(|at| now.since(at))
+    }
+
     /// Returns requests that the endpoint runs at once.
     #[must_use]
     pub fn slots(&self) -> u32 {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -17,7 +17,7 @@
 mod flight;
 mod forward;
 mod handle;
-mod journal;
+pub mod journal;
 pub mod lane;
 pub mod line;
 mod meters;
--- a/crates/direct/src/meters.rs
+++ b/crates/direct/src/meters.rs
@@ -37,6 +37,7 @@
 #[derive(Debug)]
 struct RouteMeters {
     answered: u64,
+    failed: u64,
     abandoned: u64,
     latency_ms: Histogram<u32>,
 }
@@ -46,6 +47,7 @@
         let latency_ms = Histogram::new_with_max(MAX_LATENCY_MS, DIGITS);
         Self {
             answered: 0,
+            failed: 0,
             abandoned: 0,
             latency_ms: latency_ms.expect("the bounds are constants that a histogram accepts"),
         }
@@ -79,13 +81,14 @@
         let meters = state.routes.entry(label.into()).or_default();
         match ending {
             Ending::Answered { .. } => meters.answered += 1,
+            Ending::EndpointFailed => meters.failed += 1,
             Ending::CallerGone => meters.abandoned += 1,
         }
         let ms = u64::try_from(took.as_millis()).unwrap_or(MAX_LATENCY_MS);
         meters.latency_ms.saturating_record(ms);
     }
 
-    pub(crate) fn count_error(&self, kind: Kind, _took: Duration) {
+    pub(crate) fn count_error(&self, kind: Kind) {
         *self.lock().errors.entry(kind.as_str()).or_default() += 1;
     }
 
@@ -101,16 +104,14 @@
         let state = self.lock();
         let mut out = String::new();
         for (route, meters) in &state.routes {
-            line(
-                &mut out,
-                &format!("requests_answered{{route=\"{route}\"}}"),
-                meters.answered,
-            );
-            line(
-                &mut out,
-                &format!("requests_abandoned{{route=\"{route}\"}}"),
-                meters.abandoned,
-            );
+            let counts = [
+                ("requests_answered", meters.answered),
+                ("requests_endpoint_failed", meters.failed),
+                ("requests_abandoned", meters.abandoned),
+            ];
+            for (name, count) in counts {
+                line(&mut out, &format!("{name}{{route=\"{route}\"}}"), count);
+            }
             for q in QUANTILES {
                 let name = format!("latency_ms{{route=\"{route}\",quantile=\"{q}\"}}");
                 line(&mut out, &name, meters.latency_ms.value_at_quantile(q));
--- /dev/null
+++ b/crates/direct/tests/journal.rs
@@ -0,0 +1,35 @@
+//! The volume of log lines under load.
+
+use eelgrassramp::Monotonic;
+use eelgrassramp_direct::journal::LineKind;
+use eelgrassramp_direct::journal::LogBudget;
+use googletest::prelude::*;
+
+/// Asks for 2,000 lines of a kind in each of ten seconds, and returns how many were allowed.
+fn overload(budget: &LogBudget, kind: LineKind) -> u64 {
+    let millis = (0..20_000).map(|i| i / 2);
+    let allowed = millis.filter(|ms| budget.allows(Monotonic::from_millis(*ms), kind));
+    allowed.count() as u64
+}
+
+#[gtest]
+fn lines_stay_within_their_budget_and_the_rest_is_counted() {
+    let budget = LogBudget::default();
+
+    let allowed = overload(&budget, LineKind::Ended);
+    let left_out = budget.take_left_out();
+
+    expect_that!(allowed, le(13 * 120));
+    expect_that!(left_out, elements_are![eq(&("ended", 20_000 - allowed))]);
+    expect_that!(budget.take_left_out(), is_empty());
+}
+
+#[gtest]
+fn failures_are_left_out_later_than_successes() {
+    let budget = LogBudget::default();
+
+    let successes = overload(&budget, LineKind::Dispatched);
+    let failures = overload(&budget, LineKind::Failed);
+
+    expect_that!(failures, gt(2 * successes));
+}
--- a/crates/programs/src/ctl.rs
+++ b/crates/programs/src/ctl.rs
@@ -2,6 +2,7 @@
 
 mod command;
 mod connect;
+mod explain;
 mod failure;
 mod moves;
 mod output;
@@ -14,6 +15,7 @@
 use clap::ArgMatches;
 
 pub use self::command::command as ctl_command;
+pub use self::explain::explain;
 use self::failure::Failure;
 use crate::Exit;
 
@@ -45,6 +47,7 @@
         Some(("tables", m)) => tables::run(m).await,
         Some(("moves", m)) => moves::run(m).await,
         Some(("status", m)) => status::run(m).await,
+        Some(("explain", m)) => explain::run(m),
         _ => Err(Failure::usage("no such command")),
     }
 }
--- a/crates/programs/src/ctl/command.rs
+++ b/crates/programs/src/ctl/command.rs
@@ -36,6 +36,26 @@
         .subcommand(tables())
         .subcommand(status())
         .subcommand(moves())
+        .subcommand(explain())
+}
+
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Tells what became of one request, from the logs of all processes")
+        .arg(
+            Arg::new("id")
+                .value_name("ID")
+                .help("The request's id, as the caller sent it")
+                .required(true),
+        )
+        .arg(
+            Arg::new("files")
+                .value_name("FILE")
+                .help("Logs of the processes, as JSON lines")
+                .required(true)
+                .num_args(1..)
+                .value_parser(value_parser!(PathBuf)),
+        )
 }
 
 fn moves() -> Command {
--- a/crates/programs/src/lib.rs
+++ b/crates/programs/src/lib.rs
@@ -7,6 +7,7 @@
 pub use self::command::command;
 pub use self::ctl::ctl_command;
 pub use self::ctl::ctl_main;
+pub use self::ctl::explain;
 pub use self::run::Exit;
 pub use self::run::Program;
 pub use self::run::main;
