--- a/crates/direct/src/dispatcher.rs
+++ b/crates/direct/src/dispatcher.rs
@@ -18,6 +18,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::endpoint::Endpoint;
+use crate::endpoint::EndpointKey;
 use crate::endpoint::ReportedLoad;
 use crate::lane::Lane;
 use crate::lane::Outcome;
@@ -170,7 +171,6 @@
     pools: HashMap<PoolName, PoolState>,
     /// Other entries that can be heard.
     peers: u32,
-    peers_known: bool,
 }
 
 impl Dispatcher {
@@ -182,7 +182,6 @@
             preference: xxh3_64(entry.as_bytes()),
             pools: HashMap::new(),
             peers: 0,
-            peers_known: false,
         }
     }
 
@@ -205,22 +204,23 @@
         &mut self,
         now: Monotonic,
         peers: u32,
-        in_flight: &HashMap<EndpointName, u32>,
+        in_flight: &HashMap<EndpointKey, u32>,
     ) {
         self.peers = peers;
-        self.peers_known = true;
         for lane in self.pools.values_mut().flat_map(|p| p.lanes.values_mut()) {
-            let others = in_flight.get(&lane.endpoint().name).copied();
+            let others = in_flight
+                .get(&EndpointKey::from(&lane.endpoint().name))
+                .copied();
             lane.set_others(now, others.unwrap_or(0));
         }
     }
 
     /// Returns this entry's requests in flight by endpoint.
     #[must_use]
-    pub fn in_flight(&self) -> Vec<(EndpointName, u32)> {
+    pub fn in_flight(&self) -> Vec<(EndpointKey, u32)> {
         let lanes = self.pools.values().flat_map(|p| p.lanes.iter());
         lanes
-            .map(|(name, lane)| (name.clone(), lane.in_flight()))
+            .map(|(name, lane)| (EndpointKey::from(name), lane.in_flight()))
             .filter(|(_, n)| *n > 0)
             .collect()
     }
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -6,6 +6,9 @@
 use eelgrassramp::EndpointName;
 use eelgrassramp::PoolName;
 use eelgrassramp::VersionName;
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Whether an endpoint takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,6 +52,20 @@
     }
 }
 
+/// Short form of an endpoint's name for messages between entries.
+///
+/// Two names with the same short form only make an entry reckon with more work than there is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct EndpointKey(u32);
+
+impl From<&EndpointName> for EndpointKey {
+    fn from(name: &EndpointName) -> Self {
+        let [a, b, c, d, ..] = xxh3_64(name.as_str().as_bytes()).to_be_bytes();
+        Self(u32::from_be_bytes([a, b, c, d]))
+    }
+}
+
 /// Load that an endpoint tells about itself with an answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ReportedLoad {
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -14,9 +14,9 @@
 use eelgrassramp::AccountName;
 use eelgrassramp::Context;
 use eelgrassramp::DomainName;
-use eelgrassramp::EndpointName;
 use eelgrassramp::EntryName;
 use eelgrassramp::Kind;
+use eelgrassramp::Monotonic;
 use eelgrassramp::PoolName;
 use eelgrassramp::RouteName;
 use rand::Rng;
@@ -35,6 +35,7 @@
 use crate::dispatcher::Ticket;
 use crate::dispatcher::Wake;
 use crate::endpoint::Endpoint;
+use crate::endpoint::EndpointKey;
 use crate::endpoint::ReportedLoad;
 use crate::journal;
 use crate::journal::LogBudget;
@@ -63,6 +64,15 @@
 /// Ticks between two sweeps of idle connections.
 const TICKS_PER_SWEEP: u64 = 20;
 
+/// Time for which another entry's work counts after it was heard.
+const OTHERS_LIFETIME: Duration = Duration::from_millis(1_500);
+
+/// Work of another entry.
+struct Others {
+    heard_at: Monotonic,
+    in_flight: Vec<(EndpointKey, u32)>,
+}
+
 /// What an entry is started with.
 #[derive(Debug, Clone)]
 pub struct Identity {
@@ -112,7 +122,7 @@
     registry: Registry,
     rng: StdRng,
     /// Requests in flight by entry, as the other entries told.
-    others: HashMap<EntryName, Vec<(EndpointName, u32)>>,
+    others: HashMap<EntryName, Others>,
 }
 
 impl Entry {
@@ -323,7 +333,11 @@
         let mut state = self.lock();
         state.quotas.hear(now, entry, incarnation, &usage.accounts);
         state.dispatcher.hear_rollouts(entry, usage.rollouts);
-        state.others.insert(entry.clone(), usage.in_flight);
+        let others = Others {
+            heard_at: now,
+            in_flight: usage.in_flight,
+        };
+        state.others.insert(entry.clone(), others);
         state.count_others(now);
     }
 
@@ -526,7 +540,7 @@
 }
 
 impl State {
-    fn wake(&mut self, now: eelgrassramp::Monotonic, wake: Wake) {
+    fn wake(&mut self, now: Monotonic, wake: Wake) {
         let (seq, result) = match wake {
             Wake::Granted(seq, grant) => (seq, Ok(grant)),
             Wake::Expired(seq, wait) => (seq, Err(wait)),
@@ -542,10 +556,13 @@
         }
     }
 
-    fn count_others(&mut self, now: eelgrassramp::Monotonic) {
-        let mut sum: HashMap<EndpointName, u32> = HashMap::new();
-        for (endpoint, n) in self.others.values().flatten() {
-            *sum.entry(endpoint.clone()).or_default() += n;
+    fn count_others(&mut self, now: Monotonic) {
+        self.others
+            .retain(|_, others| now.since(others.heard_at) < OTHERS_LIFETIME);
+        let mut sum: HashMap<EndpointKey, u32> = HashMap::new();
+        let all = self.others.values().flat_map(|others| &others.in_flight);
+        for (endpoint, n) in all {
+            *sum.entry(*endpoint).or_default() += n;
         }
         let peers = u32::try_from(self.others.len()).unwrap_or(u32::MAX);
         self.dispatcher.set_others(now, peers, &sum);
@@ -556,7 +573,7 @@
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Usage {
     /// Requests in flight by endpoint.
-    pub in_flight: Vec<(EndpointName, u32)>,
+    pub in_flight: Vec<(EndpointKey, u32)>,
     /// Units by account.
     pub accounts: Vec<AccountUse>,
     /// Answers in each move.
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -4,6 +4,9 @@
 //! Tables and endpoints are passed on only when one side holds a newer version, so that an entry
 //! that the store turns away goes on with what the others know.
 
+mod link;
+mod message;
+
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -13,16 +16,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use eelgrassramp::AccountName;
-use eelgrassramp::Context;
-use eelgrassramp::EndpointName;
 use eelgrassramp::EntryName;
 use eelgrassramp::Error;
 use eelgrassramp::Kind;
-use eelgrassramp::PoolName;
+use eelgrassramp::Monotonic;
 use eelgrassramp::Result;
-use eelgrassramp::RouteName;
-use http::Method;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -30,14 +28,11 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
-use hyper::client::conn::http1 as client;
-use hyper::client::conn::http1::SendRequest;
 use hyper::server::conn::http1 as server;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 use serde_bytes::ByteBuf;
 use slog::debug;
 use slog::info;
@@ -45,20 +40,22 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use self::link::Link;
+use self::message::UsageWire;
+use self::message::decode;
+use self::message::encode;
 use crate::connections;
-use crate::dispatcher::RolloutUse;
 use crate::entry::Entry;
-use crate::entry::Usage;
-use crate::quota::AccountUse;
-use crate::rollout::Answers;
-use crate::rollout::Comparison;
-use crate::rollout::End;
 
 /// Time between two questions to the same entry.
 const PERIOD: Duration = Duration::from_millis(200);
 
-/// Time in which another entry has to answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Entries up to which all are asked at [`PERIOD`]; among more the pace falls with the root of
+/// their number, as the messages of all together grow with its square.
+const FULL_PACE_ENTRIES: f64 = 8.0;
+
+/// Periods without a question from another entry after which it is asked instead.
+const SILENT_PERIODS: u32 = 3;
 
 /// Failures in a row after which another entry's work no longer counts as in flight.
 const FAILURES_BEFORE_LOSS: u32 = 3;
@@ -113,144 +110,19 @@
     fn adopt(&self, snapshot: Snapshot) -> Result<()>;
 }
 
-/// What one entry tells another; fields are only ever added at the end.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-struct UsageWire {
-    entry: EntryName,
-    incarnation: u64,
-    tables: u64,
-    endpoints: u64,
-    in_flight: Vec<(EndpointName, u32)>,
-    accounts: Vec<AccountUseWire>,
-    is_stopping: bool,
-    rollouts: Vec<RolloutUseWire>,
-}
-
-#[derive(Debug, Clone, Serialize, Deserialize)]
-struct AccountUseWire {
-    account: AccountName,
-    admitted: f64,
-    asked: f64,
-}
-
-#[derive(Debug, Clone, Serialize, Deserialize)]
-struct RolloutUseWire {
-    pool: PoolName,
-    id: u64,
-    is_completed: bool,
-    is_rolled_back: bool,
-    answers: Vec<(RouteName, AnswersWire, AnswersWire)>,
-}
-
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-struct AnswersWire(f64, f64, f64, f64, f64);
-
-impl From<Answers> for AnswersWire {
-    fn from(a: Answers) -> Self {
-        Self(a.sent, a.answered, a.bad, a.timed, a.slowness)
-    }
-}
-
-impl From<AnswersWire> for Answers {
-    fn from(AnswersWire(sent, answered, bad, timed, slowness): AnswersWire) -> Self {
-        Self {
-            sent,
-            answered,
-            bad,
-            timed,
-            slowness,
-        }
-    }
-}
-
-impl From<RolloutUse> for RolloutUseWire {
-    fn from(usage: RolloutUse) -> Self {
-        let answers = usage.answers.into_iter();
-        Self {
-            pool: usage.pool,
-            id: usage.id,
-            is_completed: usage.ended == Some(End::Completed),
-            is_rolled_back: usage.ended == Some(End::RolledBack),
-            answers: answers
-                .map(|(route, c)| (route, c.new.into(), c.old.into()))
-                .collect(),
-        }
-    }
-}
-
-impl From<RolloutUseWire> for RolloutUse {
-    fn from(wire: RolloutUseWire) -> Self {
-        let ended = match (wire.is_rolled_back, wire.is_completed) {
-            (true, _) => Some(End::RolledBack),
-            (false, true) => Some(End::Completed),
-            (false, false) => None,
-        };
-        let answers = wire.answers.into_iter();
-        Self {
-            pool: wire.pool,
-            id: wire.id,
-            ended,
-            answers: answers
-                .map(|(route, new, old)| {
-                    let (new, old) = (new.into(), old.into());
-                    (route, Comparison { new, old })
-                })
-                .collect(),
-        }
-    }
-}
-
-impl From<AccountUse> for AccountUseWire {
-    fn from(usage: AccountUse) -> Self {
-        Self {
-            account: usage.account,
-            admitted: usage.admitted,
-            asked: usage.asked,
-        }
-    }
-}
-
-impl From<AccountUseWire> for AccountUse {
-    fn from(wire: AccountUseWire) -> Self {
-        Self {
-            account: wire.account,
-            admitted: wire.admitted,
-            asked: wire.asked,
-        }
-    }
-}
-
-impl UsageWire {
-    fn of(entry: &Entry, freshness: Freshness) -> Self {
-        let usage = entry.usage();
-        Self {
-            entry: entry.identity().name.clone(),
-            incarnation: entry.identity().incarnation,
-            tables: freshness.tables,
-            endpoints: freshness.endpoints,
-            in_flight: usage.in_flight,
-            accounts: usage.accounts.into_iter().map(Into::into).collect(),
-            rollouts: usage.rollouts.into_iter().map(Into::into).collect(),
-            is_stopping: entry.cx().stop.is_cancelled(),
-        }
-    }
-}
-
-impl From<UsageWire> for Usage {
-    fn from(wire: UsageWire) -> Self {
-        Self {
-            in_flight: wire.in_flight,
-            accounts: wire.accounts.into_iter().map(Into::into).collect(),
-            rollouts: wire.rollouts.into_iter().map(Into::into).collect(),
-        }
-    }
-}
-
 /// The exchange of one entry with all others.
 pub struct Exchange {
     entry: Arc<Entry>,
     snapshots: Arc<dyn Snapshots>,
     peers: Mutex<HashMap<EntryName, (SocketAddr, tokio::task::AbortHandle)>>,
+    heard: Mutex<HashMap<EntryName, Heard>>,
+}
+
+/// When another entry was heard, and whether it holds newer tables or endpoints.
+#[derive(Debug, Clone, Copy)]
+struct Heard {
+    at: Monotonic,
+    is_newer: bool,
 }
 
 impl Exchange {
@@ -261,6 +133,7 @@
             entry,
             snapshots,
             peers: Mutex::default(),
+            heard: Mutex::default(),
         })
     }
 
@@ -321,6 +194,7 @@
         });
         // The asking side opens a new connection when this one ends.
         let _ended = server::Builder::new()
+            .auto_date_header(false)
             .serve_connection(TokioIo::new(stream), service)
             .await;
     }
@@ -357,6 +231,8 @@
         let is_newer = theirs.tables > own.tables || theirs.endpoints > own.endpoints;
         let entry = theirs.entry.clone();
         let incarnation = theirs.incarnation;
+        let at = self.entry.cx().timers.now();
+        self.heard().insert(entry.clone(), Heard { at, is_newer });
         self.entry.hear(&entry, incarnation, theirs.into());
         is_newer
     }
@@ -366,6 +242,11 @@
         let mut link = Link::new(&cx, addr);
         let mut failures = 0_u32;
         loop {
+            let period = self.period();
+            if !self.is_mine_to_ask(&name, period) {
+                cx.timers.after(period).await;
+                continue;
+            }
             match self.ask(&mut link).await {
                 Ok(()) => {
                     if failures >= FAILURES_BEFORE_LOSS {
@@ -384,11 +265,28 @@
                     }
                 }
             }
-            let pause = PERIOD * 2_u32.pow(failures.saturating_sub(1).min(4));
+            let pause = period * 2_u32.pow(failures.saturating_sub(1).min(4));
             cx.timers.after(pause.min(MAX_PAUSE)).await;
         }
     }
 
+    /// Returns the time between two questions to the same entry.
+    fn period(&self) -> Duration {
+        let entries = self.lock().len() as f64;
+        PERIOD.mul_f64((entries / FULL_PACE_ENTRIES).max(1.0).sqrt())
+    }
+
+    /// Of two entries the one whose name comes first asks; the other one does when it is not
+    /// asked, or when the first one holds something newer.
+    fn is_mine_to_ask(&self, name: &EntryName, period: Duration) -> bool {
+        if self.entry.identity().name < *name {
+            return true;
+        }
+        let now = self.entry.cx().timers.now();
+        let heard = self.heard().get(name).copied();
+        heard.is_none_or(|h| h.is_newer || now.since(h.at) > period * SILENT_PERIODS)
+    }
+
     async fn ask(&self, link: &mut Link) -> Result<()> {
         let own = UsageWire::of(&self.entry, self.snapshots.freshness());
         let theirs: UsageWire = link.call(USAGE_PATH, encode(&own)?).await?;
@@ -399,6 +297,12 @@
         Ok(())
     }
 
+    fn heard(&self) -> MutexGuard<'_, HashMap<EntryName, Heard>> {
+        self.heard
+            .lock()
+            .expect("no code panics while it holds what was heard")
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<EntryName, (SocketAddr, tokio::task::AbortHandle)>> {
         self.peers
             .lock()
@@ -414,74 +318,6 @@
     }
 }
 
-/// The asking side of a connection to another entry.
-struct Link {
-    cx: Context,
-    addr: SocketAddr,
-    tx: Option<SendRequest<Full<Bytes>>>,
-}
-
-impl Link {
-    fn new(cx: &Context, addr: SocketAddr) -> Self {
-        Self {
-            cx: cx.clone(),
-            addr,
-            tx: None,
-        }
-    }
-
-    async fn call<T: DeserializeOwned>(&mut self, path: &'static str, body: Bytes) -> Result<T> {
-        let timers = self.cx.timers.clone();
-        let answer = timers
-            .limit(ANSWER_TIMEOUT, self.exchange(path, body))
-            .await;
-        let body = answer.ok_or_else(|| {
-            let detail = format!("entry at {}: no answer in time", self.addr);
-            Error::new(Kind::ConnectFailed, detail)
-        })??;
-        decode(&body)
-    }
-
-    async fn exchange(&mut self, path: &'static str, body: Bytes) -> Result<Bytes> {
-        let failed =
-            |e: hyper::Error| Error::with_source(Kind::ConnectFailed, "exchange with an entry", e);
-        // The connection is kept only when the call ends in time and whole.
-        let mut tx = match self.tx.take() {
-            Some(tx) if !tx.is_closed() => tx,
-            _ => self.connect().await?,
-        };
-        tx.ready().await.map_err(failed)?;
-        let mut req = Request::new(Full::new(body));
-        *req.method_mut() = Method::POST;
-        *req.uri_mut() = http::Uri::from_static(path);
-        let resp = tx.send_request(req).await.map_err(failed)?;
-        let status = resp.status();
-        let body = resp.into_body().collect().await.map_err(failed)?;
-        if status != StatusCode::OK {
-            let detail = format!("entry at {} answered {status}", self.addr);
-            return Err(Error::new(Kind::ConnectFailed, detail));
-        }
-        self.tx = Some(tx);
-        Ok(body.to_bytes())
-    }
-
-    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>> {
-        let failed = |e: std::io::Error| {
-            Error::with_source(Kind::ConnectFailed, format!("entry at {}", self.addr), e)
-        };
-        let stream = TcpStream::connect(self.addr).await.map_err(failed)?;
-        connections::tune(&stream).map_err(failed)?;
-        let (tx, driver) = client::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|e| Error::with_source(Kind::ConnectFailed, "handshake", e))?;
-        tokio::spawn(async move {
-            // Calls see every failure; one between calls only ends the task.
-            let _ended = driver.await;
-        });
-        Ok(tx)
-    }
-}
-
 /// Tells whether the other side's machine answered that no process listens there.
 fn is_refused(e: &Error) -> bool {
     let mut source = std::error::Error::source(e);
@@ -500,14 +336,3 @@
     *resp.status_mut() = status;
     resp
 }
-
-fn encode<T: Serialize>(message: &T) -> Result<Bytes> {
-    let bytes = rmp_serde::to_vec(message);
-    bytes
-        .map(Bytes::from)
-        .map_err(|e| Error::with_source(Kind::Internal, "encode a message", e))
-}
-
-fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
-    rmp_serde::from_slice(body).map_err(|e| Error::with_source(Kind::Malformed, "message", e))
-}
--- /dev/null
+++ b/crates/direct/src/exchange/link.rs
@@ -0,0 +1,98 @@
+//! The asking side of a connection to another entry.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eelgrassramp::Context;
+use eelgrassramp::Error;
+use eelgrassramp::Kind;
+use eelgrassramp::Result;
+use http::Method;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
+
+use super::message::decode;
+use crate::connections;
+
+/// Time in which another entry has to answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The asking side of a connection to another entry.
+pub(super) struct Link {
+    cx: Context,
+    addr: SocketAddr,
+    tx: Option<SendRequest<Full<Bytes>>>,
+}
+
+impl Link {
+    pub(super) fn new(cx: &Context, addr: SocketAddr) -> Self {
+        Self {
+            cx: cx.clone(),
+            addr,
+            tx: None,
+        }
+    }
+
+    pub(super) async fn call<T: DeserializeOwned>(
+        &mut self,
+        path: &'static str,
+        body: Bytes,
+    ) -> Result<T> {
+        let timers = self.cx.timers.clone();
+        let answer = timers
+            .limit(ANSWER_TIMEOUT, self.exchange(path, body))
+            .await;
+        let body = answer.ok_or_else(|| {
+            let detail = format!("entry at {}: no answer in time", self.addr);
+            Error::new(Kind::ConnectFailed, detail)
+        })??;
+        decode(&body)
+    }
+
+    async fn exchange(&mut self, path: &'static str, body: Bytes) -> Result<Bytes> {
+        let failed =
+            |e: hyper::Error| Error::with_source(Kind::ConnectFailed, "exchange with an entry", e);
+        // The connection is kept only when the call ends in time and whole.
+        let mut tx = match self.tx.take() {
+            Some(tx) if !tx.is_closed() => tx,
+            _ => self.connect().await?,
+        };
+        tx.ready().await.map_err(failed)?;
+        let mut req = Request::new(Full::new(body));
+        *req.method_mut() = Method::POST;
+        *req.uri_mut() = http::Uri::from_static(path);
+        let resp = tx.send_request(req).await.map_err(failed)?;
+        let status = resp.status();
+        let body = resp.into_body().collect().await.map_err(failed)?;
+        if status != StatusCode::OK {
+            let detail = format!("entry at {} answered {status}", self.addr);
+            return Err(Error::new(Kind::ConnectFailed, detail));
+        }
+        self.tx = Some(tx);
+        Ok(body.to_bytes())
+    }
+
+    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>> {
+        let failed = |e: std::io::Error| {
+            Error::with_source(Kind::ConnectFailed, format!("entry at {}", self.addr), e)
+        };
+        let stream = TcpStream::connect(self.addr).await.map_err(failed)?;
+        connections::tune(&stream).map_err(failed)?;
+        let (tx, driver) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| Error::with_source(Kind::ConnectFailed, "handshake", e))?;
+        tokio::spawn(async move {
+            // Calls see every failure; one between calls only ends the task.
+            let _ended = driver.await;
+        });
+        Ok(tx)
+    }
+}
--- /dev/null
+++ b/crates/direct/src/exchange/message.rs
@@ -0,0 +1,177 @@
+//! The messages between entries, and how they are encoded.
+
+use bytes::Bytes;
+use eelgrassramp::AccountName;
+use eelgrassramp::EntryName;
+use eelgrassramp::Error;
+use eelgrassramp::Kind;
+use eelgrassramp::PoolName;
+use eelgrassramp::Result;
+use eelgrassramp::RouteName;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::Freshness;
+use crate::dispatcher::RolloutUse;
+use crate::endpoint::EndpointKey;
+use crate::entry::Entry;
+use crate::entry::Usage;
+use crate::quota::AccountUse;
+use crate::rollout::Answers;
+use crate::rollout::Comparison;
+use crate::rollout::End;
+
+/// What one entry tells another; fields are only ever added at the end.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(super) struct UsageWire {
+    pub(super) entry: EntryName,
+    pub(super) incarnation: u64,
+    pub(super) tables: u64,
+    pub(super) endpoints: u64,
+    in_flight: Vec<(EndpointKey, u32)>,
+    accounts: Vec<AccountUseWire>,
+    is_stopping: bool,
+    rollouts: Vec<RolloutUseWire>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct AccountUseWire {
+    account: AccountName,
+    admitted: u64,
+    asked: u64,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct RolloutUseWire {
+    pool: PoolName,
+    id: u64,
+    is_completed: bool,
+    is_rolled_back: bool,
+    answers: Vec<(RouteName, AnswersWire, AnswersWire)>,
+}
+
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct AnswersWire(f64, f64, f64, f64, f64);
+
+impl From<Answers> for AnswersWire {
+    fn from(a: Answers) -> Self {
+        Self(a.sent, a.answered, a.bad, a.timed, a.slowness)
+    }
+}
+
+impl From<AnswersWire> for Answers {
+    fn from(AnswersWire(sent, answered, bad, timed, slowness): AnswersWire) -> Self {
+        Self {
+            sent,
+            answered,
+            bad,
+            timed,
+            slowness,
+        }
+    }
+}
+
+impl From<RolloutUse> for RolloutUseWire {
+    fn from(usage: RolloutUse) -> Self {
+        let answers = usage.answers.into_iter();
+        Self {
+            pool: usage.pool,
+            id: usage.id,
+            is_completed: usage.ended == Some(End::Completed),
+            is_rolled_back: usage.ended == Some(End::RolledBack),
+            answers: answers
+                .map(|(route, c)| (route, c.new.into(), c.old.into()))
+                .collect(),
+        }
+    }
+}
+
+impl From<RolloutUseWire> for RolloutUse {
+    fn from(wire: RolloutUseWire) -> Self {
+        let ended = match (wire.is_rolled_back, wire.is_completed) {
+            (true, _) => Some(End::RolledBack),
+            (false, true) => Some(End::Completed),
+            (false, false) => None,
+        };
+        let answers = wire.answers.into_iter();
+        Self {
+            pool: wire.pool,
+            id: wire.id,
+            ended,
+            answers: answers
+                .map(|(route, new, old)| {
+                    let (new, old) = (new.into(), old.into());
+                    (route, Comparison { new, old })
+                })
+                .collect(),
+        }
+    }
+}
+
+impl From<AccountUse> for AccountUseWire {
+    fn from(usage: AccountUse) -> Self {
+        Self {
+            account: usage.account,
+            admitted: whole(usage.admitted),
+            asked: whole(usage.asked),
+        }
+    }
+}
+
+impl From<AccountUseWire> for AccountUse {
+    fn from(wire: AccountUseWire) -> Self {
+        Self {
+            account: wire.account,
+            admitted: wire.admitted as f64,
+            asked: wire.asked as f64,
+        }
+    }
+}
+
+impl UsageWire {
+    pub(super) fn of(entry: &Entry, freshness: Freshness) -> Self {
+        let usage = entry.usage();
+        Self {
+            entry: entry.identity().name.clone(),
+            incarnation: entry.identity().incarnation,
+            tables: freshness.tables,
+            endpoints: freshness.endpoints,
+            in_flight: usage.in_flight,
+            accounts: usage.accounts.into_iter().map(Into::into).collect(),
+            rollouts: usage.rollouts.into_iter().map(Into::into).collect(),
+            is_stopping: entry.cx().stop.is_cancelled(),
+        }
+    }
+}
+
+impl From<UsageWire> for Usage {
+    fn from(wire: UsageWire) -> Self {
+        Self {
+            in_flight: wire.in_flight,
+            accounts: wire.accounts.into_iter().map(Into::into).collect(),
+            rollouts: wire.rollouts.into_iter().map(Into::into).collect(),
+        }
+    }
+}
+
+/// Rounds a count of units; a part of a unit does not matter to a quota.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value is clamped to the range of the type"
+)]
+const fn whole(units: f64) -> u64 {
+    units.clamp(0.0, 9e15) as u64
+}
+
+pub(super) fn encode<T: Serialize>(message: &T) -> Result<Bytes> {
+    let bytes = rmp_serde::to_vec(message);
+    bytes
+        .map(Bytes::from)
+        .map_err(|e| Error::with_source(Kind::Internal, "encode a message", e))
+}
+
+pub(super) fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
+    rmp_serde::from_slice(body).map_err(|e| Error::with_source(Kind::Malformed, "message", e))
+}
--- a/crates/direct/tests/dispatcher.rs
+++ b/crates/direct/tests/dispatcher.rs
@@ -16,6 +16,7 @@
 use eelgrassramp_direct::dispatcher::Ticket;
 use eelgrassramp_direct::dispatcher::Wake;
 use eelgrassramp_direct::endpoint::Endpoint;
+use eelgrassramp_direct::endpoint::EndpointKey;
 use eelgrassramp_direct::endpoint::EndpointState;
 use eelgrassramp_direct::lane::Outcome;
 use eelgrassramp_direct::line::Class;
@@ -121,7 +122,7 @@
 #[gtest]
 fn work_that_other_entries_told_of_takes_places() {
     let mut dispatcher = dispatcher(&[ready("a")]);
-    let others = HashMap::from([(EndpointName::from("a"), SLOTS)]);
+    let others = HashMap::from([(EndpointKey::from(&EndpointName::from("a")), SLOTS)]);
     dispatcher.set_others(at(0), 1, &others);
 
     dispatcher.enter(at(100), ticket(1, 2, 100));
