--- a/crates/direct/src/deployment.rs
+++ b/crates/direct/src/deployment.rs
@@ -105,15 +105,6 @@
     pub quota: Option<Quota>,
 }
 
-/// One row of the pool table.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Pool {
-    /// Name of the pool.
-    pub name: PoolName,
-    /// Most connections that one endpoint accepts from all callers together.
-    pub max_connections: Option<u32>,
-}
-
 /// What a caller may send, and how long it may take.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -145,7 +136,6 @@
     routes: HashMap<Box<str>, HashMap<Box<str>, Arc<Route>>>,
     accounts: Vec<Arc<Account>>,
     keys: HashMap<Box<str>, Arc<Account>>,
-    pools: HashMap<PoolName, Pool>,
     limits: Limits,
 }
 
@@ -166,11 +156,6 @@
         by_prefix.insert(route.path_prefix.clone(), Arc::new(route));
     }
 
-    /// Adds a pool.
-    pub fn add_pool(&mut self, pool: Pool) {
-        self.pools.insert(pool.name.clone(), pool);
-    }
-
     /// Adds a client account with the API keys that name it.
     pub fn add_account(&mut self, account: Account, keys: impl IntoIterator<Item = Box<str>>) {
         let account = Arc::new(account);
@@ -192,18 +177,6 @@
         &self.limits
     }
 
-    /// Returns the pool named `name`.
-    #[must_use]
-    pub fn pool(&self, name: &PoolName) -> Option<&Pool> {
-        self.pools.get(name)
-    }
-
-    /// Returns all client accounts.
-    #[must_use]
-    pub fn accounts(&self) -> &[Arc<Account>] {
-        &self.accounts
-    }
-
     /// Tells whether requests have to carry an API key at all.
     #[must_use]
     pub fn has_accounts(&self) -> bool {
--- a/crates/direct/src/dispatcher.rs
+++ b/crates/direct/src/dispatcher.rs
@@ -5,7 +5,8 @@
 //! to the most urgent request, and fast endpoints come first. There is no I/O here; the owner
 //! passes the time and the events. See `docs/design/platform.md`.
 
-use std::collections::BTreeMap;
+mod pool;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,13 +18,14 @@
 use eelgrassramp::RouteName;
 use xxhash_rust::xxh3::xxh3_64;
 
+use self::pool::PoolState;
+use self::pool::View;
 use crate::endpoint::Endpoint;
 use crate::endpoint::EndpointKey;
 use crate::endpoint::ReportedLoad;
 use crate::lane::Lane;
 use crate::lane::Outcome;
 use crate::line::Class;
-use crate::line::Line;
 use crate::line::Waiting;
 use crate::rollout::Comparison;
 use crate::rollout::End;
@@ -31,37 +33,6 @@
 use crate::rollout::Order;
 use crate::rollout::Report;
 use crate::rollout::Rollout;
-use crate::rollout::Side;
-
-/// Predicted cost of reading one prompt token, in milliseconds at slowness 1.
-const PROMPT_TOKEN_MS: f64 = 0.02;
-
-/// Predicted cost of making one answer token, in milliseconds at slowness 1.
-const OUTPUT_TOKEN_MS: f64 = 3.0;
-
-/// Predicted cost of a request that declares no tokens, in milliseconds at slowness 1.
-const PLAIN_MS: f64 = 30.0;
-
-/// How much longer an answer takes at an endpoint whose places are all taken.
-const FULL_PENALTY: f64 = 0.5;
-
-/// How much an endpoint in another failure domain counts as slower, for bytes between domains.
-const OTHER_DOMAIN_PENALTY: f64 = 1.1;
-
-/// Requests that an endpoint may hold beyond its places, by the rank of their route.
-///
-/// The next place to come free goes to the request that waits inside the endpoint already, so
-/// only the most urgent may.
-const EXTRA_PLACES: [u32; 1] = [1];
-
-/// Time without any answer after which an endpoint counts as stalled.
-const STALL: Duration = Duration::from_millis(800);
-
-/// Time in which the moving averages of failures halve.
-const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
-
-/// Most of a pool's endpoints that may be avoided at once.
-const MAX_AVOIDED_SHARE: f64 = 0.5;
 
 /// Shortest time after which a refused caller may come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -84,24 +55,12 @@
     pub start_by: Monotonic,
     /// When it is refused if it has not been started.
     pub give_up_at: Monotonic,
-    /// Tokens in the prompt and most tokens in the answer, when declared.
-    pub tokens: Option<(u64, u64)>,
     /// Endpoints that had it already.
     pub tried: Vec<EndpointName>,
     /// Random number from 0 to 1 that decides between versions.
     pub draw: f64,
 }
 
-impl Ticket {
-    /// Returns the predicted time at slowness 1, in milliseconds.
-    #[must_use]
-    pub fn predicted_ms(&self) -> f64 {
-        self.tokens.map_or(PLAIN_MS, |(prompt, output)| {
-            PROMPT_TOKEN_MS * prompt as f64 + OUTPUT_TOKEN_MS * output as f64
-        })
-    }
-}
-
 /// What an entry counted in one move.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RolloutUse {
@@ -154,14 +113,6 @@
     Expired(u64, Duration),
 }
 
-#[derive(Debug)]
-struct PoolState {
-    lanes: BTreeMap<EndpointName, Lane>,
-    line: Line<Ticket>,
-    rollout: Option<Rollout>,
-    faded_at: Monotonic,
-}
-
 /// The pools of one entry.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -331,12 +282,7 @@
     /// Lets failures fade; called regularly.
     pub fn tick(&mut self, now: Monotonic) {
         for pool in self.pools.values_mut() {
-            let age = now.since(pool.faded_at).as_secs_f64();
-            let factor = 0.5_f64.powf(age / FAILURE_HALF_LIFE.as_secs_f64());
-            pool.faded_at = now;
-            for lane in pool.lanes.values_mut() {
-                lane.fade_failures(factor);
-            }
+            pool.fade_failures(now);
         }
     }
 
@@ -396,12 +342,7 @@
     }
 
     fn pool_mut(&mut self, name: &PoolName) -> &mut PoolState {
-        self.pools.entry(name.clone()).or_insert_with(|| PoolState {
-            lanes: BTreeMap::new(),
-            line: Line::default(),
-            rollout: None,
-            faded_at: Monotonic::ZERO,
-        })
+        self.pools.entry(name.clone()).or_default()
     }
 
     fn lane_mut(&mut self, endpoint: &Endpoint) -> Option<&mut Lane> {
@@ -413,160 +354,6 @@
     }
 }
 
-/// What is the same for all pools of an entry.
-#[derive(Debug)]
-struct View {
-    entries: u32,
-    domain: Box<str>,
-    preference: u64,
-}
-
-impl PoolState {
-    fn retain(&mut self, endpoints: &[Arc<Endpoint>]) {
-        self.lanes.retain(|_, lane| {
-            endpoints
-                .iter()
-                .any(|e| e.is_same_incarnation(lane.endpoint()))
-        });
-    }
-
-    fn median_slowness(&self) -> f64 {
-        let mut all: Vec<f64> = self.lanes.values().map(Lane::slowness).collect();
-        all.sort_by(f64::total_cmp);
-        all.get(all.len() / 2).copied().unwrap_or(1.0)
-    }
-
-    /// Chooses between versions; one without an endpoint that takes work leaves the other.
-    fn side(&self, now: Monotonic, ticket: &Ticket, view: &View) -> Side {
-        let Some(rollout) = &self.rollout else {
-            return Side::Old;
-        };
-        let chosen = rollout.choose(now, ticket.draw, view.entries);
-        let mut ready = self.lanes.values().filter(|lane| lane.is_ready());
-        let is_there = ready.any(|lane| rollout.side_of(&lane.endpoint().version) == chosen);
-        match (chosen, is_there) {
-            (Side::New, false) => Side::Old,
-            (side, _) => side,
-        }
-    }
-
-    fn judge(&mut self, endpoint: &Endpoint, route: &RouteName, outcome: Outcome) {
-        let Some(rollout) = &mut self.rollout else {
-            return;
-        };
-        let (is_bad, slowness) = match outcome {
-            Outcome::Served { slowness } => (false, slowness),
-            Outcome::Failed | Outcome::Lost | Outcome::Silent => (true, f64::NAN),
-            Outcome::Refused | Outcome::Unreachable | Outcome::Neutral => return,
-        };
-        rollout.count_answer(route, &endpoint.version, is_bad, slowness);
-    }
-
-    fn advance(&mut self, now: Monotonic) -> Option<Report> {
-        let rollout = self.rollout.as_mut()?;
-        if rollout.is_over(now) {
-            self.rollout = None;
-            return None;
-        }
-        let old = self.lanes.values().filter(|lane| {
-            let version = &lane.endpoint().version;
-            rollout.side_of(version) == Side::Old
-        });
-        let old_in_flight = old.map(Lane::in_flight).sum();
-        rollout.advance(now, old_in_flight)
-    }
-
-    fn mean_failures(&self) -> f64 {
-        let n = self.lanes.len().max(1) as f64;
-        self.lanes.values().map(Lane::failures).sum::<f64>() / n
-    }
-
-    fn hand_out(&mut self, now: Monotonic, view: &View, wakes: &mut Vec<Wake>) {
-        while let Some(first) = self.line.next_class(now) {
-            let mut classes = vec![first.clone()];
-            classes.extend(self.line.classes_after(&first));
-            let granted = classes
-                .into_iter()
-                .find_map(|class| self.grant_front(now, &class, view));
-            match granted {
-                Some(wake) => wakes.push(wake),
-                None => return,
-            }
-        }
-    }
-
-    fn grant_front(&mut self, now: Monotonic, class: &Class, view: &View) -> Option<Wake> {
-        let ticket = self.line.front(class)?.item.clone();
-        let grant = self.place(now, &ticket, view)?;
-        self.line.pop(now, class);
-        Some(Wake::Granted(ticket.seq, grant))
-    }
-
-    /// Chooses the endpoint that is predicted to answer first among those with a free place.
-    fn place(&mut self, now: Monotonic, ticket: &Ticket, view: &View) -> Option<Grant> {
-        let failures = self.mean_failures();
-        let extra = extra_places(ticket);
-        let ready = || self.lanes.values().filter(|l| l.is_ready());
-        let avoided = |lane: &Lane| lane.is_avoided(now, failures) || lane.is_stalled(now, STALL);
-        let total = ready().count() as f64;
-        let is_trusted = ready().filter(|l| avoided(l)).count() as f64 <= MAX_AVOIDED_SHARE * total;
-        let side = self.side(now, ticket, view);
-        let is_meant = |lane: &Lane| {
-            let rollout = self.rollout.as_ref();
-            rollout.is_none_or(|r| r.side_of(&lane.endpoint().version) == side)
-        };
-        let usable = ready()
-            .filter(|lane| is_meant(lane))
-            .filter(|lane| !ticket.tried.contains(&lane.endpoint().name))
-            .filter(|lane| lane.has_place(now, extra))
-            .filter(|lane| !(is_trusted && avoided(lane)));
-        let best = usable
-            .map(|lane| (view.score(now, lane), lane))
-            .min_by(|(a, _), (b, _)| a.total_cmp(b))
-            .map(|(_, lane)| lane.endpoint().name.clone())?;
-        let lane = self.lanes.get_mut(&best)?;
-        let avoided = lane.is_avoided(now, failures);
-        lane.start(now);
-        if let Some(rollout) = &mut self.rollout {
-            let version = &lane.endpoint().version;
-            rollout.count_sent(&ticket.class.route, version);
-        }
-        Some(Grant {
-            seq: ticket.seq,
-            route: ticket.class.route.clone(),
-            endpoint: Arc::clone(lane.endpoint()),
-            busy: lane.busy(now),
-            slowness: lane.slowness(),
-            others_age: lane.others_age(now),
-            avoided,
-        })
-    }
-}
-
-impl View {
-    /// Returns the predicted slowness of one more request at an endpoint.
-    ///
-    /// Entries prefer different ones among nearly equal endpoints, so that two of them seldom
-    /// take the same free place.
-    fn score(&self, now: Monotonic, lane: &Lane) -> f64 {
-        let endpoint = lane.endpoint();
-        let fullness = f64::from(lane.busy(now)) / f64::from(lane.slots());
-        let distance = if endpoint.domain.as_str() == &*self.domain {
-            1.0
-        } else {
-            OTHER_DOMAIN_PENALTY
-        };
-        let draw = xxh3_64(endpoint.name.as_str().as_bytes()) ^ self.preference;
-        let spread = 1.0 + (draw % 64) as f64 / 1_000.0;
-        lane.slowness() * (1.0 + FULL_PENALTY * fullness) * distance * spread
-    }
-}
-
-fn extra_places(ticket: &Ticket) -> u32 {
-    let rank = usize::try_from(ticket.class.urgency.route).unwrap_or(usize::MAX);
-    EXTRA_PLACES.get(rank).copied().unwrap_or(0)
-}
-
 /// Chooses when a refused caller may come back: when about half of what waits has been served.
 ///
 /// The request's number spreads callers that were refused together.
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -55,7 +55,8 @@
 /// Short form of an endpoint's name for messages between entries.
 ///
 /// Two names with the same short form only make an entry reckon with more work than there is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct EndpointKey(u32);
 
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -48,11 +48,7 @@
 use crate::entry::Entry;
 
 /// Time between two questions to the same entry.
-const PERIOD: Duration = Duration::from_millis(200);
-
-/// Entries up to which all are asked at [`PERIOD`]; among more the pace falls with the root of
-/// their number, as the messages of all together grow with its square.
-const FULL_PACE_ENTRIES: f64 = 8.0;
+const PERIOD: Duration = Duration::from_millis(100);
 
 /// Periods without a question from another entry after which it is asked instead.
 const SILENT_PERIODS: u32 = 3;
@@ -82,7 +78,8 @@
 }
 
 /// Tables and endpoints in the form in which the platform keeps them.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Snapshot {
     /// The tables, when any are known.
     pub tables: Option<ByteBuf>,
@@ -242,9 +239,8 @@
         let mut link = Link::new(&cx, addr);
         let mut failures = 0_u32;
         loop {
-            let period = self.period();
-            if !self.is_mine_to_ask(&name, period) {
-                cx.timers.after(period).await;
+            if !self.is_mine_to_ask(&name) {
+                cx.timers.after(PERIOD).await;
                 continue;
             }
             match self.ask(&mut link).await {
@@ -265,26 +261,20 @@
                     }
                 }
             }
-            let pause = period * 2_u32.pow(failures.saturating_sub(1).min(4));
+            let pause = PERIOD * 2_u32.pow(failures.saturating_sub(1).min(4));
             cx.timers.after(pause.min(MAX_PAUSE)).await;
         }
     }
 
-    /// Returns the time between two questions to the same entry.
-    fn period(&self) -> Duration {
-        let entries = self.lock().len() as f64;
-        PERIOD.mul_f64((entries / FULL_PACE_ENTRIES).max(1.0).sqrt())
-    }
-
     /// Of two entries the one whose name comes first asks; the other one does when it is not
     /// asked, or when the first one holds something newer.
-    fn is_mine_to_ask(&self, name: &EntryName, period: Duration) -> bool {
+    fn is_mine_to_ask(&self, name: &EntryName) -> bool {
         if self.entry.identity().name < *name {
             return true;
         }
         let now = self.entry.cx().timers.now();
         let heard = self.heard().get(name).copied();
-        heard.is_none_or(|h| h.is_newer || now.since(h.at) > period * SILENT_PERIODS)
+        heard.is_none_or(|h| h.is_newer || now.since(h.at) > PERIOD * SILENT_PERIODS)
     }
 
     async fn ask(&self, link: &mut Link) -> Result<()> {
--- a/crates/direct/src/exchange/message.rs
+++ b/crates/direct/src/exchange/message.rs
@@ -23,7 +23,8 @@
 use crate::rollout::End;
 
 /// What one entry tells another; fields are only ever added at the end.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct UsageWire {
     pub(super) entry: EntryName,
     pub(super) incarnation: u64,
@@ -35,14 +36,16 @@
     rollouts: Vec<RolloutUseWire>,
 }
 
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 struct AccountUseWire {
     account: AccountName,
     admitted: u64,
     asked: u64,
 }
 
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 struct RolloutUseWire {
     pool: PoolName,
     id: u64,
@@ -51,7 +54,8 @@
     answers: Vec<(RouteName, AnswersWire, AnswersWire)>,
 }
 
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize, Deserialize)]
 struct AnswersWire(f64, f64, f64, f64, f64);
 
 impl From<Answers> for AnswersWire {
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -146,10 +146,6 @@
             arrived: now,
             start_by: self.arrived + self.route.objective.mul_f64(1.0 - ANSWER_SHARE),
             give_up_at: give_up_at.max(now + Duration::from_millis(20)),
-            tokens: self
-                .call
-                .prompt_tokens
-                .map(|prompt| (prompt, self.call.output_tokens.unwrap_or(0))),
             tried: self.tried.clone(),
             draw: f64::from(self.entry.draw()) / f64::from(u32::MAX),
         };
--- a/crates/direct/src/handle.rs
+++ b/crates/direct/src/handle.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use eelgrassramp::Error;
 use eelgrassramp::Kind;
-use eelgrassramp::Monotonic;
 use eelgrassramp::Ran;
 use eelgrassramp::RouteName;
 use http::HeaderMap;
@@ -126,7 +125,7 @@
         last_event: None,
         story: story.clone(),
     };
-    let outcome = forward(forwarding, story.arrived).await;
+    let outcome = forward(forwarding).await;
     if let (Err(refusal), Some(account)) = (&outcome, &account)
         && refusal.error.kind().answer().ran == Ran::No
     {
@@ -135,11 +134,8 @@
     outcome
 }
 
-/// Runs the request; its time limit holds for everything before the body of the answer.
-async fn forward(
-    forwarding: Forwarding,
-    _arrived: Monotonic,
-) -> Result<Response<AnswerBody>, Refusal> {
+/// Runs the request, and passes the body of its answer on as it comes.
+async fn forward(forwarding: Forwarding) -> Result<Response<AnswerBody>, Refusal> {
     let resp = forwarding.run().await?;
     let (parts, relay) = resp.into_parts();
     let frames = StreamBody::new(relay.into_frames());
--- a/crates/direct/src/server.rs
+++ b/crates/direct/src/server.rs
@@ -39,8 +39,8 @@
 /// Time for which a connection may be idle when no tables say so.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 
-/// Largest read buffer of a connection in bytes; it bounds the head of a request.
-const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Smallest read buffer of a connection in bytes that the HTTP library accepts.
+const MIN_READ_BUFFER_BYTES: usize = 8 * 1024;
 
 /// Where an entry listens and how long its stop may take.
 #[derive(Debug, Clone, Copy)]
@@ -124,17 +124,16 @@
     if let Err(e) = connections::tune(&stream) {
         warn!(entry.cx().log, "socket options failed"; "error" => %e);
     }
-    let idle = entry
-        .deployment()
-        .map_or(DEFAULT_IDLE, |d| d.limits().idle_timeout);
+    let limits = entry.deployment().map(|d| *d.limits()).unwrap_or_default();
     let service = service_fn(|req| {
         let entry = Arc::clone(&entry);
         async move { Ok::<_, Infallible>(handle(entry, req).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(idle)
-        .max_buf_size(READ_BUFFER_BYTES)
+        .header_read_timeout(limits.idle_timeout)
+        // The buffer bounds the head of a request; a longer one is answered with 431.
+        .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     // How a connection ends is told by the requests on it.
--- a/crates/direct/tests/dispatcher.rs
+++ b/crates/direct/tests/dispatcher.rs
@@ -64,7 +64,6 @@
         arrived,
         start_by: arrived + Duration::from_millis(300),
         give_up_at: arrived + Duration::from_secs(2),
-        tokens: None,
         tried: Vec::new(),
         draw: 0.5,
     }
--- a/crates/eelgrassramp/src/entry/classify.rs
+++ b/crates/eelgrassramp/src/entry/classify.rs
@@ -109,7 +109,8 @@
 }
 
 /// The parts of an inference request that matter for scheduling.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 struct ModelBody {
     model: Option<String>,
     max_tokens: Option<u32>,
@@ -120,7 +121,8 @@
     messages: Vec<Message>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Message {
     #[serde(default)]
     content: Value,
--- a/crates/eelgrassramp/src/entry/error_body.rs
+++ b/crates/eelgrassramp/src/entry/error_body.rs
@@ -8,12 +8,14 @@
 use crate::error::Ran;
 use crate::wire::Header;
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Body<'a> {
     error: Detail<'a>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Detail<'a> {
     kind: Kind,
     message: &'a str,
--- a/crates/eelgrassramp/src/entry/histograms.rs
+++ b/crates/eelgrassramp/src/entry/histograms.rs
@@ -19,7 +19,8 @@
 const OTHER_ACCOUNTS: &str = "other";
 
 /// The measured times of one tier and client account.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Series {
     /// The tier.
     pub tier: Tier,
@@ -36,7 +37,8 @@
 }
 
 /// Quantiles of a measured time in milliseconds.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Serialize)]
 pub struct Quantiles {
     /// Half of the requests took at most this.
     pub p50: f64,
--- a/crates/eelgrassramp/src/entry/settings.rs
+++ b/crates/eelgrassramp/src/entry/settings.rs
@@ -37,7 +37,8 @@
 /// assert_eq!(settings.name.as_str(), "entry-1");
 /// # Ok::<(), eelgrassramp::Error>(())
 /// ```
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// The entry's name, unique among entries.
@@ -71,7 +72,8 @@
 }
 
 /// Bounds on what an entry holds in memory.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LimitSettings {
     /// Connections of callers.
@@ -126,7 +128,8 @@
 }
 
 /// How an entry stops.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct DrainSettings {
     /// Time between telling the balancer and refusing new requests, in milliseconds.
--- a/crates/eelgrassramp/src/error.rs
+++ b/crates/eelgrassramp/src/error.rs
@@ -15,7 +15,8 @@
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
 /// Tells whether a request ran, as far as this system can prove it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Ran {
     /// It is proved that the request did not run.
@@ -214,7 +215,8 @@
 /// assert_eq!(err.kind().answer().status, 404);
 /// assert_eq!(err.kind().answer().ran, Ran::No);
 /// ```
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[error("{kind}: {detail}")]
 pub struct Error {
     kind: Kind,
--- a/crates/eelgrassramp/src/id.rs
+++ b/crates/eelgrassramp/src/id.rs
@@ -13,7 +13,8 @@
 const HALF_BITS: u32 = 64;
 
 /// Identifies one request across all attempts, processes and connections.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct RequestId {
     high: u64,
     low: u64,
--- a/crates/eelgrassramp/src/lease/object.rs
+++ b/crates/eelgrassramp/src/lease/object.rs
@@ -19,7 +19,8 @@
 }
 
 /// The value of a lease object.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LeaseObject {
     /// The life of the entry that holds the lease.
--- a/crates/eelgrassramp/src/lib.rs
+++ b/crates/eelgrassramp/src/lib.rs
@@ -67,6 +67,7 @@
 pub use self::name::VersionName;
 pub use self::name::is_valid_name;
 pub use self::process::Context;
+pub use self::process::stop_on_signal;
 pub use self::tier::Tier;
 pub use self::time::Monotonic;
 pub use self::time::Ticks;
--- a/crates/eelgrassramp/src/link.rs
+++ b/crates/eelgrassramp/src/link.rs
@@ -34,7 +34,8 @@
 pub type FrameStream = Pin<Box<dyn Stream<Item = Result<Frame>> + Send>>;
 
 /// Why a call to a sidecar gave nothing.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum LinkError {
     /// Not a single byte of the call left this process, so it cannot have had an effect.
     #[error("not sent: {0}")]
--- a/crates/eelgrassramp/src/log.rs
+++ b/crates/eelgrassramp/src/log.rs
@@ -14,7 +14,8 @@
 use slog::o;
 
 /// How much is logged.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Verbosity {
     /// Only failures that need an operator.
--- a/crates/eelgrassramp/src/process.rs
+++ b/crates/eelgrassramp/src/process.rs
@@ -8,6 +8,10 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use slog::Logger;
+use slog::error;
+use slog::info;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
 use tokio_util::sync::CancellationToken;
 
 use crate::time::Timers;
@@ -62,3 +66,19 @@
             .finish_non_exhaustive()
     }
 }
+
+/// Cancels `stop` when the process gets SIGTERM or SIGINT.
+pub async fn stop_on_signal(log: Logger, stop: CancellationToken) {
+    let terminate = signal(SignalKind::terminate());
+    let interrupt = signal(SignalKind::interrupt());
+    let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
+        error!(log, "signal handlers failed to install");
+        return;
+    };
+    let name = tokio::select! {
+        _ = terminate.recv() => "SIGTERM",
+        _ = interrupt.recv() => "SIGINT",
+    };
+    info!(log, "stop requested"; "signal" => name);
+    stop.cancel();
+}
--- a/crates/eelgrassramp/src/rollout/ladder.rs
+++ b/crates/eelgrassramp/src/rollout/ladder.rs
@@ -20,9 +20,8 @@
 const SECONDS_TO_BRAKE: f64 = 3.0;
 
 /// How far a route has come; steps are never skipped.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Step(u8);
 
--- a/crates/eelgrassramp/src/rollout/progress.rs
+++ b/crates/eelgrassramp/src/rollout/progress.rs
@@ -29,7 +29,8 @@
 }
 
 /// How far a move has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Phase {
     /// The earliest time to begin has not come.
@@ -82,7 +83,8 @@
 }
 
 /// How far one route has come.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RouteProgress {
     /// The route.
@@ -92,7 +94,8 @@
 }
 
 /// The object `moves/<pool>`, written by the holder of the pool's lease only.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Progress {
     /// The pool.
--- a/crates/eelgrassramp/src/routing/policy.rs
+++ b/crates/eelgrassramp/src/routing/policy.rs
@@ -4,7 +4,8 @@
 use serde::Serialize;
 
 /// How an endpoint is chosen; all but the first are baselines to compare with.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Policy {
     /// The earliest expected completion among a few candidates.
--- a/crates/eelgrassramp/src/sidecar/settings.rs
+++ b/crates/eelgrassramp/src/sidecar/settings.rs
@@ -22,7 +22,8 @@
 use crate::name::is_valid_name;
 
 /// What kind of endpoint stands behind a sidecar.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum EndpointKind {
     /// A model engine that batches, streams, resumes and cancels.
@@ -32,7 +33,8 @@
 }
 
 /// The settings of one sidecar process, as its settings file gives them.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Where the sidecar listens for entries.
--- a/crates/eelgrassramp/src/sidecar/times.rs
+++ b/crates/eelgrassramp/src/sidecar/times.rs
@@ -7,7 +7,8 @@
 use super::service::Service;
 
 /// Distribution of service times of one tier.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct ServiceTimes {
     /// The tier.
     pub tier: Tier,
--- a/crates/eelgrassramp/src/store/api.rs
+++ b/crates/eelgrassramp/src/store/api.rs
@@ -26,7 +26,8 @@
 }
 
 /// Whether a VM is in service, as the platform's lagging list tells.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum VmState {
     /// The VM is in service.
@@ -36,7 +37,8 @@
 }
 
 /// One row of the platform's list of VMs.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Vm {
     /// IP address without port.
     pub address: std::net::IpAddr,
--- a/crates/eelgrassramp/src/store/http.rs
+++ b/crates/eelgrassramp/src/store/http.rs
@@ -172,7 +172,8 @@
     }
 }
 
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 enum ExchangeError {
     #[error("connection: {0}")]
     Io(#[from] std::io::Error),
@@ -282,7 +283,8 @@
     }
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Row {
     key: String,
     version: u64,
--- a/crates/eelgrassramp/src/tables/apply.rs
+++ b/crates/eelgrassramp/src/tables/apply.rs
@@ -76,7 +76,8 @@
 }
 
 /// Why an edit is not in force.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum ApplyError {
     /// The tables are invalid.
     #[error("the tables have {} faults", .0.len())]
--- a/crates/eelgrassramp/src/tables/document.rs
+++ b/crates/eelgrassramp/src/tables/document.rs
@@ -28,7 +28,8 @@
 use crate::wire::TablesSnapshot;
 
 /// Both tables as one JSON document; one object, so that a join by name changes as a whole.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Document {
     /// The route table; the first match wins.
@@ -41,7 +42,8 @@
 }
 
 /// Who changed the tables, so that a lost reply can be settled by reading back.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EditRow {
     /// Identifies the edit, 32 hexadecimal digits.
@@ -64,7 +66,8 @@
 }
 
 /// One row of the route table.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RouteRow {
     /// The row's name.
@@ -88,7 +91,8 @@
 }
 
 /// What the endpoints of a pool are.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum KindCell {
     /// Model engines.
@@ -98,7 +102,8 @@
 }
 
 /// Who checks the fencing token of an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FencingCell {
     /// The engine checks it.
@@ -108,7 +113,8 @@
 }
 
 /// One row of the pool table.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PoolRow {
     /// The row's name.
@@ -134,7 +140,8 @@
 }
 
 /// A move to another version by a date.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct MoveRow {
     /// The version that takes over.
@@ -147,7 +154,8 @@
 }
 
 /// One endpoint of a pool.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EndpointRow {
     /// The endpoint's name, unique in its pool.
@@ -166,7 +174,8 @@
 }
 
 /// The endpoints that a pool had before an edit.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FormerRow {
     /// When the edit was made.
--- a/crates/eelgrassramp/src/tier.rs
+++ b/crates/eelgrassramp/src/tier.rs
@@ -6,7 +6,8 @@
 use serde::Serialize;
 
 /// Ranks requests by urgency; the most urgent tier compares lowest.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Tier {
     /// Order placement, deposits and booking charges.
--- a/crates/eelgrassramp/src/wire/message.rs
+++ b/crates/eelgrassramp/src/wire/message.rs
@@ -45,7 +45,8 @@
 }
 
 /// Asks a sidecar to run one request.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Dispatch {
     /// The request's identity across all attempts.
     pub request: RequestId,
@@ -86,7 +87,8 @@
 }
 
 /// Predicted work of a request.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Work {
     /// Tokens to prefill.
     pub prefill_tokens: u32,
@@ -109,7 +111,8 @@
 }
 
 /// The HTTP call that an endpoint gets.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Call {
     /// Request method.
     pub method: String,
@@ -122,7 +125,8 @@
 }
 
 /// One HTTP header.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Header {
     /// Lower-case name.
     pub name: String,
@@ -132,7 +136,8 @@
 }
 
 /// One frame of an answer.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum Frame {
     /// The sidecar took the request into its queue.
     Queued(Load),
@@ -168,7 +173,8 @@
 }
 
 /// Why a request got no whole answer from a sidecar.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Failure {
     /// What went wrong.
     pub kind: Kind,
@@ -187,7 +193,8 @@
 }
 
 /// Tokens spent on one request.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Usage {
     /// Tokens computed in prefill.
     pub prefill_tokens: u32,
@@ -198,7 +205,8 @@
 }
 
 /// A sidecar's state in brief; it travels with every answer.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Load {
     /// The sidecar's life.
     pub incarnation: Incarnation,
@@ -227,7 +235,8 @@
 }
 
 /// Asks for the frames of a request from an offset on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Attach {
     /// The request.
     pub request: RequestId,
@@ -238,7 +247,8 @@
 }
 
 /// Asks that a request never start, or how far it got.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Revoke {
     /// The request.
     pub request: RequestId,
@@ -249,7 +259,8 @@
 }
 
 /// What a sidecar knows of a request that was to be revoked.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum RevokeReply {
     /// The request never started and never will.
     NeverStarted,
@@ -264,7 +275,8 @@
 }
 
 /// Tells that the caller has gone and the answer is not wanted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Cancel {
     /// The request.
     pub request: RequestId,
@@ -273,7 +285,8 @@
 }
 
 /// Asks a former home of an idempotency key whether it saw the key, and closes it there.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimKey {
     /// Identity of the caller's idempotency key within the account.
     pub key: RequestId,
@@ -282,7 +295,8 @@
 }
 
 /// What a sidecar knows of an idempotency key.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum KeyReply {
     /// The key was never used here and never will be.
     Closed,
@@ -293,7 +307,8 @@
 }
 
 /// Both tables as one document, at one version.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct TablesSnapshot {
     /// The version of the document.
     pub version: TableVersion,
@@ -305,7 +320,8 @@
 ///
 /// Splits of a pool are ordered by table version, then fencing token, then step; a reader
 /// keeps the highest that it has seen.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PoolSplit {
     /// The pool.
     pub pool: PoolName,
@@ -320,9 +336,8 @@
 }
 
 /// Position of a split in the order of all splits of its pool.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct SplitSeq {
     /// Table version that asked for the move.
     pub tables: TableVersion,
@@ -333,7 +348,8 @@
 }
 
 /// The share of one route that goes to the new version of its pool.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RouteShare {
     /// The route.
     pub route: RouteName,
@@ -342,7 +358,8 @@
 }
 
 /// Asks a sidecar for its report and passes on what the asker knows.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ReportRequest {
     /// The newest tables that the asker knows.
     pub tables: TableVersion,
@@ -361,7 +378,8 @@
 }
 
 /// A sidecar's full report.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Report {
     /// The endpoint's name.
     pub endpoint: EndpointName,
@@ -384,7 +402,8 @@
 }
 
 /// Stops new work to a version of a pool; a brake is never taken off while that version lasts.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Brake {
     /// The pool.
     pub pool: PoolName,
@@ -397,7 +416,8 @@
 }
 
 /// Counters of one route, tier and version at one sidecar since its start.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Outcomes {
     /// The route.
     pub route: RouteName,
@@ -418,7 +438,8 @@
 }
 
 /// Changes of a prefix cache.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CacheUpdate {
     /// Sequence number after these changes.
     pub seq: u64,
@@ -431,7 +452,8 @@
 }
 
 /// An order to an engine, sent by the holder of the pool's lease.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineOrder {
     /// The pool.
     pub pool: PoolName,
@@ -442,7 +464,8 @@
 }
 
 /// What an engine is ordered to do.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum EngineAction {
     /// Load a version from the weight store.
     Load(VersionName),
@@ -453,7 +476,8 @@
 }
 
 /// What became of an order.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OrderReply {
     /// Whether the order was carried out.
     pub done: bool,
--- a/crates/programs/src/ctl/moves.rs
+++ b/crates/programs/src/ctl/moves.rs
@@ -25,7 +25,8 @@
 const FOLLOW_PERIOD: Duration = Duration::from_secs(2);
 
 /// What an operator is told of one move.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 struct MoveRow {
     pool: String,
     from: String,
--- a/crates/programs/src/ctl/status.rs
+++ b/crates/programs/src/ctl/status.rs
@@ -29,13 +29,15 @@
 const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
 const PARALLEL_REPORTS: usize = 32;
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Status {
     tables: TableVersion,
     endpoints: Vec<EndpointStatus>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct EndpointStatus {
     pool: String,
     endpoint: String,
--- a/crates/programs/src/ctl/tables/apply.rs
+++ b/crates/programs/src/ctl/tables/apply.rs
@@ -23,7 +23,8 @@
 use super::super::output::print_json;
 use crate::Exit;
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct AppliedRow {
     version: TableVersion,
     edit: String,
--- a/crates/programs/src/ctl/tables/check.rs
+++ b/crates/programs/src/ctl/tables/check.rs
@@ -11,7 +11,8 @@
 use super::super::output::print_json;
 use super::apply::clash_failure;
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Checked {
     valid: bool,
     routes: usize,
--- a/crates/programs/src/ctl/tables/diff.rs
+++ b/crates/programs/src/ctl/tables/diff.rs
@@ -18,7 +18,8 @@
 const CONTEXT_LINES: usize = 2;
 
 /// One changed row, for scripts.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct ChangeRow {
     row: String,
     change: &'static str,
@@ -33,7 +34,8 @@
     }
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Compared {
     version: TableVersion,
     changes: Vec<ChangeRow>,
--- a/crates/programs/src/ctl/tables/show.rs
+++ b/crates/programs/src/ctl/tables/show.rs
@@ -11,13 +11,15 @@
 use super::super::output::print_json;
 use super::super::output::print_table;
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Shown {
     version: TableVersion,
     tables: Document,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct EditLine {
     version: TableVersion,
     at: String,
--- a/crates/programs/src/run.rs
+++ b/crates/programs/src/run.rs
@@ -12,12 +12,11 @@
 use eelgrassramp::log;
 use eelgrassramp::log::Verbosity;
 use eelgrassramp::metrics;
+use eelgrassramp::stop_on_signal;
 use slog::Logger;
 use slog::error;
 use slog::info;
 use slog::o;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 use tokio_util::sync::CancellationToken;
 
 /// Exit codes of all programs.
@@ -135,18 +134,3 @@
         seed: None,
     })
 }
-
-async fn stop_on_signal(log: Logger, stop: CancellationToken) {
-    let terminate = signal(SignalKind::terminate());
-    let interrupt = signal(SignalKind::interrupt());
-    let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
-        error!(log, "signal handlers failed to install");
-        return;
-    };
-    let name = tokio::select! {
-        _ = terminate.recv() => "SIGTERM",
-        _ = interrupt.recv() => "SIGINT",
-    };
-    info!(log, "stop requested"; "signal" => name);
-    stop.cancel();
-}
--- a/crates/standins/src/check.rs
+++ b/crates/standins/src/check.rs
@@ -14,7 +14,8 @@
 use crate::service::OrderService;
 
 /// One promise with the number of cases that were looked at and that broke it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Check {
     /// The promise.
     pub promise: &'static str,
--- a/crates/standins/src/cluster/spec.rs
+++ b/crates/standins/src/cluster/spec.rs
@@ -23,7 +23,8 @@
 use crate::service;
 
 /// How many of each process there are, and how fast the endpoints are.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ClusterSpec {
     /// Entries.
@@ -48,7 +49,8 @@
 }
 
 /// Engines of one hardware generation.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EngineGroup {
     /// The hardware generation.
@@ -67,7 +69,8 @@
 }
 
 /// Speed, memory and lags of an engine of speed 1.
-#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EngineSpec {
     /// Requests that fit into one batch.
@@ -89,7 +92,8 @@
 }
 
 /// The ways to schedule that are compared.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Scheduling {
     /// Everything that this system does.
--- a/crates/standins/src/demo/follow.rs
+++ b/crates/standins/src/demo/follow.rs
@@ -6,7 +6,8 @@
 use serde::Serialize;
 
 /// How far a move has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum MoveStatus {
     /// No move is recorded.
@@ -39,7 +40,8 @@
 }
 
 /// The part of the move's object that matters here.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Recorded {
     phase: String,
 }
--- a/crates/standins/src/demo/report.rs
+++ b/crates/standins/src/demo/report.rs
@@ -13,7 +13,8 @@
 use crate::load::Summary;
 
 /// Figures and checks of the load over real connections.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct LoadReport {
     /// What became of the requests.
     pub summary: Summary,
@@ -24,7 +25,8 @@
 }
 
 /// Figures and checks of the move on a simulated clock.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct MoveReport {
     /// How the move ended.
     pub status: MoveStatus,
@@ -39,7 +41,8 @@
 }
 
 /// Figures and checks of one demonstration.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Report {
     /// The load.
     pub load: LoadReport,
--- a/crates/standins/src/engine/http.rs
+++ b/crates/standins/src/engine/http.rs
@@ -41,7 +41,8 @@
 use crate::http::status;
 
 /// A load report as JSON.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct LoadRow {
     version: VersionName,
     running: u32,
@@ -63,7 +64,8 @@
 }
 
 /// Cache events as JSON; hashes are strings, since JSON readers round large numbers.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct CacheRow {
     seq: u64,
     whole: bool,
@@ -84,7 +86,8 @@
 }
 
 /// An order as JSON.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(tag = "action", rename_all = "snake_case")]
 enum OrderRow {
     Load { version: VersionName, fence: u64 },
@@ -102,7 +105,8 @@
     }
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct VersionRow {
     version: VersionName,
 }
--- a/crates/standins/src/engine/kv.rs
+++ b/crates/standins/src/engine/kv.rs
@@ -6,7 +6,8 @@
 use super::batch::Job;
 
 /// A request with its computed prompt, exported by one engine for another to go on with.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct KvExport {
     path: String,
     model: Option<String>,
--- a/crates/standins/src/engine/prompt.rs
+++ b/crates/standins/src/engine/prompt.rs
@@ -14,7 +14,8 @@
 pub const BYTES_PER_TOKEN: usize = 4;
 
 /// A chat or completion request, as far as the engine reads it.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct Body {
     pub(super) model: Option<String>,
     #[serde(default)]
@@ -28,7 +29,8 @@
     standin_output_tokens: Option<u32>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Message {
     content: String,
 }
--- a/crates/standins/src/experiment/file.rs
+++ b/crates/standins/src/experiment/file.rs
@@ -12,7 +12,8 @@
 use crate::load::Traffic;
 
 /// A deployment, its traffic and the cases to compare.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Experiment {
     /// What is compared, in one sentence.
@@ -44,7 +45,8 @@
 }
 
 /// One run of an experiment.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Case {
     /// The way to schedule.
     pub scheduling: Scheduling,
--- a/crates/standins/src/experiment/run.rs
+++ b/crates/standins/src/experiment/run.rs
@@ -27,7 +27,8 @@
 use crate::load::drive;
 
 /// What one case gave.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct CaseResult {
     /// The case.
     pub case: Case,
--- a/crates/standins/src/load/summary.rs
+++ b/crates/standins/src/load/summary.rs
@@ -17,7 +17,8 @@
 const SIGNIFICANT_DIGITS: u8 = 3;
 
 /// What became of the requests of one tier, or of one account.
-#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize)]
 pub struct Row {
     /// Requests sent.
     pub sent: u64,
@@ -40,7 +41,8 @@
 }
 
 /// Quantiles of a time in milliseconds.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Serialize)]
 pub struct Latency {
     /// Half of the requests took at most this.
     pub p50_ms: f64,
@@ -65,7 +67,8 @@
 }
 
 /// All requests of one run, by tier and by account.
-#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize)]
 pub struct Summary {
     /// By tier.
     pub tiers: BTreeMap<Tier, Row>,
--- a/crates/standins/src/load/traffic.rs
+++ b/crates/standins/src/load/traffic.rs
@@ -11,7 +11,8 @@
 use crate::engine::BYTES_PER_TOKEN;
 
 /// A mix of classes with the client accounts that send them.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Traffic {
     /// The classes of requests.
@@ -24,7 +25,8 @@
 }
 
 /// Periodic bursts.
-#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Bursts {
     /// Time from the start of one burst to the start of the next, in seconds.
@@ -36,7 +38,8 @@
 }
 
 /// What answers a class.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ClassKind {
     /// A model engine that streams.
@@ -46,7 +49,8 @@
 }
 
 /// One kind of request; it is also a row of the route table.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Class {
     /// The route's name, which is also the model's.
--- a/crates/standins/src/overhead/measure.rs
+++ b/crates/standins/src/overhead/measure.rs
@@ -42,7 +42,8 @@
 }
 
 /// What was measured.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Overhead {
     /// Calls straight to the plain service.
     pub direct: Latency,
@@ -55,7 +56,8 @@
 }
 
 /// What an entry spends on one request.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize)]
 pub struct PerRequest {
     /// Requests answered whole.
     pub answered: u64,
--- a/crates/standins/src/platform/http.rs
+++ b/crates/standins/src/platform/http.rs
@@ -29,7 +29,8 @@
 const DEFAULT_WAIT_MS: u64 = 10_000;
 
 /// One row of a listing.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Row {
     key: String,
     version: u64,
