--- a/crates/direct/src/meters.rs
+++ b/crates/direct/src/meters.rs
@@ -92,10 +92,10 @@
         *self.lock().errors.entry(kind.as_str()).or_default() += 1;
     }
 
-    /// Counts a call to the platform's store.
-    pub fn count_store_call(&self, call: &'static str, result: &'static str) {
+    /// Counts a call to the platform's store about a kind of objects.
+    pub fn count_store_call(&self, kind: &'static str, result: &'static str) {
         let mut state = self.lock();
-        *state.store_calls.entry((call, result)).or_default() += 1;
+        *state.store_calls.entry((kind, result)).or_default() += 1;
     }
 
     /// Renders all counters, with the `gauges` of the moment.
@@ -124,8 +124,8 @@
                 *count,
             );
         }
-        for ((call, result), count) in &state.store_calls {
-            let name = format!("store_calls{{call=\"{call}\",result=\"{result}\"}}");
+        for ((kind, result), count) in &state.store_calls {
+            let name = format!("store_calls{{kind=\"{kind}\",result=\"{result}\"}}");
             line(&mut out, &name, *count);
         }
         for gauge in gauges {
