--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! It is the form of eelgrassramp for platforms that announce endpoints in a registry and whose
 //! endpoints check by themselves whom a request is meant for. Decisions are state machines
-//! without I/O ([`dispatcher`], [`line`], [`lane`], [`quota`], [`retry`]); the rest is the shell
+//! without I/O ([`dispatcher`], [`mod@line`], [`lane`], [`quota`], [`retry`]); the rest is the shell
 //! around them. What a platform's callers and endpoints say is decoded behind [`protocol`].
 //! Start with `docs/design/platform.md`.
 
