--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -1,5 +1,7 @@
 //! The state that all requests of one entry share.
 
+mod state;
+
 use std::collections::HashMap;
 use std::fmt;
 use std::sync::Arc;
@@ -16,15 +18,15 @@
 use eelgrassramp::DomainName;
 use eelgrassramp::EntryName;
 use eelgrassramp::Kind;
-use eelgrassramp::Monotonic;
 use eelgrassramp::PoolName;
 use eelgrassramp::RouteName;
 use rand::Rng;
-use rand::rngs::StdRng;
 use slog::info;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
+use self::state::Others;
+use self::state::State;
 use crate::connections::Connections;
 use crate::deployment::Account;
 use crate::deployment::Deployment;
@@ -33,7 +35,6 @@
 use crate::dispatcher::Placed;
 use crate::dispatcher::RolloutUse;
 use crate::dispatcher::Ticket;
-use crate::dispatcher::Wake;
 use crate::endpoint::Endpoint;
 use crate::endpoint::EndpointKey;
 use crate::endpoint::ReportedLoad;
@@ -51,7 +52,6 @@
 use crate::refusal::Refusal;
 use crate::registry::Outage;
 use crate::registry::Registry;
-use crate::retry::RetryBudget;
 use crate::retry::RetryLimits;
 use crate::rollout::ExposureLimits;
 use crate::rollout::Order;
@@ -64,15 +64,6 @@
 /// Ticks between two sweeps of idle connections.
 const TICKS_PER_SWEEP: u64 = 20;
 
-/// Time for which another entry's work counts after it was heard.
-const OTHERS_LIFETIME: Duration = Duration::from_millis(1_500);
-
-/// Work of another entry.
-struct Others {
-    heard_at: Monotonic,
-    in_flight: Vec<(EndpointKey, u32)>,
-}
-
 /// What an entry is started with.
 #[derive(Debug, Clone)]
 pub struct Identity {
@@ -114,17 +105,6 @@
     state: Mutex<State>,
 }
 
-struct State {
-    dispatcher: Dispatcher,
-    waiters: HashMap<u64, oneshot::Sender<Result<Grant, Duration>>>,
-    budgets: HashMap<PoolName, RetryBudget>,
-    quotas: Quotas,
-    registry: Registry,
-    rng: StdRng,
-    /// Requests in flight by entry, as the other entries told.
-    others: HashMap<EntryName, Others>,
-}
-
 impl Entry {
     /// Creates an entry that knows no tables and no endpoints yet.
     #[must_use]
@@ -539,36 +519,6 @@
     Refusal::later(Kind::Overloaded, detail, wait)
 }
 
-impl State {
-    fn wake(&mut self, now: Monotonic, wake: Wake) {
-        let (seq, result) = match wake {
-            Wake::Granted(seq, grant) => (seq, Ok(grant)),
-            Wake::Expired(seq, wait) => (seq, Err(wait)),
-        };
-        let Some(tx) = self.waiters.remove(&seq) else {
-            return;
-        };
-        if let Err(Ok(grant)) = tx.send(result) {
-            // The caller left while the place was handed over.
-            let outcome = Outcome::Neutral;
-            let route = &grant.route;
-            self.dispatcher.ended(now, &grant.endpoint, route, outcome);
-        }
-    }
-
-    fn count_others(&mut self, now: Monotonic) {
-        self.others
-            .retain(|_, others| now.since(others.heard_at) < OTHERS_LIFETIME);
-        let mut sum: HashMap<EndpointKey, u32> = HashMap::new();
-        let all = self.others.values().flat_map(|others| &others.in_flight);
-        for (endpoint, n) in all {
-            *sum.entry(*endpoint).or_default() += n;
-        }
-        let peers = u32::try_from(self.others.len()).unwrap_or(u32::MAX);
-        self.dispatcher.set_others(now, peers, &sum);
-    }
-}
-
 /// What one entry tells the others.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Usage {
--- /dev/null
+++ b/crates/direct/src/entry/state.rs
@@ -0,0 +1,73 @@
+//! The state behind an entry's lock.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use eelgrassramp::EntryName;
+use eelgrassramp::Monotonic;
+use eelgrassramp::PoolName;
+use rand::rngs::StdRng;
+use tokio::sync::oneshot;
+
+use crate::dispatcher::Dispatcher;
+use crate::dispatcher::Grant;
+use crate::dispatcher::Wake;
+use crate::endpoint::EndpointKey;
+use crate::lane::Outcome;
+use crate::quota::Quotas;
+use crate::registry::Registry;
+use crate::retry::RetryBudget;
+
+/// Time for which another entry's work counts after it was heard.
+const OTHERS_LIFETIME: Duration = Duration::from_millis(1_500);
+
+/// Work of another entry.
+pub(super) struct Others {
+    pub(super) heard_at: Monotonic,
+    pub(super) in_flight: Vec<(EndpointKey, u32)>,
+}
+
+/// What the requests of an entry share and change.
+pub(super) struct State {
+    pub(super) dispatcher: Dispatcher,
+    /// Where waiting requests hear of their turn.
+    pub(super) waiters: HashMap<u64, oneshot::Sender<Result<Grant, Duration>>>,
+    pub(super) budgets: HashMap<PoolName, RetryBudget>,
+    pub(super) quotas: Quotas,
+    pub(super) registry: Registry,
+    pub(super) rng: StdRng,
+    /// Requests in flight by entry, as the other entries told.
+    pub(super) others: HashMap<EntryName, Others>,
+}
+
+impl State {
+    /// Tells a waiting request its turn or its end.
+    pub(super) fn wake(&mut self, now: Monotonic, wake: Wake) {
+        let (seq, result) = match wake {
+            Wake::Granted(seq, grant) => (seq, Ok(grant)),
+            Wake::Expired(seq, wait) => (seq, Err(wait)),
+        };
+        let Some(tx) = self.waiters.remove(&seq) else {
+            return;
+        };
+        if let Err(Ok(grant)) = tx.send(result) {
+            // The caller left while the place was handed over.
+            let outcome = Outcome::Neutral;
+            let route = &grant.route;
+            self.dispatcher.ended(now, &grant.endpoint, route, outcome);
+        }
+    }
+
+    /// Sums what the other entries have in flight, without those that fell silent.
+    pub(super) fn count_others(&mut self, now: Monotonic) {
+        self.others
+            .retain(|_, others| now.since(others.heard_at) < OTHERS_LIFETIME);
+        let mut sum: HashMap<EndpointKey, u32> = HashMap::new();
+        let all = self.others.values().flat_map(|others| &others.in_flight);
+        for (endpoint, n) in all {
+            *sum.entry(*endpoint).or_default() += n;
+        }
+        let peers = u32::try_from(self.others.len()).unwrap_or(u32::MAX);
+        self.dispatcher.set_others(now, peers, &sum);
+    }
+}
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -43,8 +43,9 @@
 /// Sends that an endpoint proved not to have run, after which a request is refused.
 const MAX_UNRUN_SENDS: u32 = 3;
 
-/// Part of the objective that an answer that may be repeated is awaited before it is sent again.
-const REPEAT_AFTER_SHARE: f64 = 2.0;
+/// Multiple of the objective for which an answer is awaited before an idempotent request is sent
+/// to another endpoint.
+const REPEAT_AFTER_OBJECTIVES: f64 = 2.0;
 
 /// Part of the caller's patience for which a request waits for a free endpoint.
 const WAIT_SHARE: f64 = 0.3;
@@ -70,9 +71,12 @@
     pub(crate) account: Option<AccountName>,
     pub(crate) arrived: Monotonic,
     pub(crate) ends_at: Monotonic,
+    /// Endpoints that ran the request or may have run it.
     pub(crate) runs: u32,
+    /// Endpoints that it was sent to, run or not.
     pub(crate) sends: u32,
     pub(crate) tried: Vec<EndpointName>,
+    /// The last event that the caller has, when the stream continues.
     pub(crate) last_event: Option<u64>,
     pub(crate) story: Story,
 }
@@ -361,7 +365,7 @@
                 .entry
                 .has_other_endpoint(&self.pool, self.tried.len() + 1)
         {
-            let limit = self.route.objective.mul_f64(REPEAT_AFTER_SHARE);
+            let limit = self.route.objective.mul_f64(REPEAT_AFTER_OBJECTIVES);
             limit.min(time_left)
         } else {
             time_left
--- a/crates/direct/src/lane.rs
+++ b/crates/direct/src/lane.rs
@@ -64,6 +64,7 @@
     sent_at: Monotonic,
     others: u32,
     others_at: Option<Monotonic>,
+    /// The endpoint's last report, and this entry's requests in flight when it came.
     report: Option<(Monotonic, ReportedLoad, u32)>,
     slowness: f64,
     failures: f64,
@@ -172,25 +173,28 @@
 
     /// Estimates the requests that the endpoint has from all entries.
     ///
-    /// What peers told counts while it is fresh, corrected by the endpoint's own report.
+    /// What the other entries told counts while it is fresh; without it the endpoint's own report
+    /// does.
     #[must_use]
     pub fn busy(&self, now: Monotonic) -> u32 {
         let told = self.others_at.filter(|at| now.since(*at) < PEER_LIFETIME);
-        let others = told.map_or(0, |_| self.others);
-        let seen = self
-            .report
-            .filter(|(at, ..)| now.since(*at) < REPORT_LIFETIME)
-            .map_or(0, |(_, load, own)| {
-                (load.running + load.waiting).saturating_sub(own)
-            });
         let others = if told.is_some() {
-            others
+            self.others
         } else {
-            others.max(seen)
+            self.reported_others(now)
         };
         self.in_flight + others
     }
 
+    fn reported_others(&self, now: Monotonic) -> u32 {
+        let fresh = self
+            .report
+            .filter(|(at, ..)| now.since(*at) < REPORT_LIFETIME);
+        fresh.map_or(0, |(_, load, own)| {
+            (load.running + load.waiting).saturating_sub(own)
+        })
+    }
+
     /// Returns how long ago the other entries told of their work.
     #[must_use]
     pub fn others_age(&self, now: Monotonic) -> Option<Duration> {
--- a/crates/direct/tests/quota.rs
+++ b/crates/direct/tests/quota.rs
@@ -156,8 +156,6 @@
 
 #[gtest]
 fn an_entry_that_is_known_to_be_down_leaves_its_part_to_the_others() {
-    let mut fleet = Fleet::new(2);
-    fleet.play(0, 4_000, 40, |_, _| true);
     let now = Monotonic::from_millis(8_000);
     let drained = |quotas: &mut Quotas| {
         let mut units = 0.0;
