Reading the change again: one rule for repeats, no work or state that nothing uses

Found: Route::may_run_again was called nowhere and disagreed with the rule that requests followed (a resumable stream may run again); the route now holds that rule and forwarding asks it. Ranks of all endpoints were hashed and sorted for every dispatch also where an entry uses all of them.

--- a/crates/direct/src/deployment.rs
+++ b/crates/direct/src/deployment.rs
@@ -65,7 +65,11 @@
     /// Tells whether a request may be sent again after an endpoint may have run it.
     #[must_use]
     pub const fn may_run_again(&self) -> bool {
-        matches!(self.kind, RouteKind::Idempotent)
+        match self.kind {
+            RouteKind::Idempotent => true,
+            RouteKind::NonIdempotent => false,
+            RouteKind::Streaming { resumable } => resumable,
+        }
     }
 }
 
--- a/crates/direct/src/dispatcher.rs
+++ b/crates/direct/src/dispatcher.rs
@@ -183,12 +183,6 @@
         pool.map_or(0, |p| p.lanes.values().filter(|l| l.is_ready()).count())
     }
 
-    /// Returns how many requests wait for `pool`.
-    #[must_use]
-    pub fn waiting(&self, pool: &PoolName) -> usize {
-        self.pools.get(pool).map_or(0, |p| p.line.len())
-    }
-
     /// Returns how many requests wait for any pool.
     #[must_use]
     pub fn all_waiting(&self) -> usize {
--- a/crates/direct/src/dispatcher/pool.rs
+++ b/crates/direct/src/dispatcher/pool.rs
@@ -89,12 +89,13 @@
     /// Entries hear late of each other's work, so a place that becomes free would be taken by
     /// several at once if all of them looked at the same endpoints.
     fn prefer_own<'a>(&self, now: Monotonic, usable: Vec<&'a Lane>, view: &View) -> Vec<&'a Lane> {
+        let own_count = view.own_endpoints(self.lanes.len());
+        if own_count >= self.lanes.len() {
+            return usable;
+        }
         let mut ranks: Vec<u64> = self.lanes.values().map(|lane| view.rank(lane)).collect();
         ranks.sort_unstable();
-        let limit = ranks.get(view.own_endpoints(ranks.len())).copied();
-        let Some(limit) = limit else {
-            return usable;
-        };
+        let limit = ranks[own_count];
         let (own, others): (Vec<_>, Vec<_>) =
             usable.into_iter().partition(|lane| view.rank(lane) < limit);
         if !own.is_empty() {
--- a/crates/direct/src/exchange/message.rs
+++ b/crates/direct/src/exchange/message.rs
@@ -32,7 +32,6 @@
     pub(super) endpoints: u64,
     in_flight: Vec<(EndpointKey, u32)>,
     accounts: Vec<AccountUseWire>,
-    is_stopping: bool,
     rollouts: Vec<RolloutUseWire>,
 }
 
@@ -144,7 +143,6 @@
             in_flight: usage.in_flight,
             accounts: usage.accounts.into_iter().map(Into::into).collect(),
             rollouts: usage.rollouts.into_iter().map(Into::into).collect(),
-            is_stopping: entry.cx().stop.is_cancelled(),
         }
     }
 }
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -167,7 +167,7 @@
         self.tried.push(grant.endpoint.name.clone());
         self.sends += 1;
         self.runs += u32::from(!is_unrun);
-        let may_run_again = is_unrun || self.is_repeatable();
+        let may_run_again = is_unrun || self.route.may_run_again();
         let is_left = self.runs < self.route.max_attempts.max(1) && self.sends < MAX_UNRUN_SENDS;
         if !may_run_again || !is_left || self.time_left().is_zero() {
             return Err(Refusal::from(error).after_runs(self.runs));
@@ -178,14 +178,6 @@
         Ok(())
     }
 
-    fn is_repeatable(&self) -> bool {
-        match self.route.kind {
-            RouteKind::Idempotent => true,
-            RouteKind::NonIdempotent => false,
-            RouteKind::Streaming { resumable } => resumable,
-        }
-    }
-
     fn may_repeat(&self) -> bool {
         self.entry.try_repeat(&self.pool)
     }
@@ -300,7 +292,7 @@
 
     /// Tells whether the endpoint's own failure is answered by another try.
     fn is_worth_repeating(&self) -> bool {
-        self.is_repeatable()
+        self.route.may_run_again()
             && self.runs + 1 < self.route.max_attempts
             && self.time_left() > self.route.objective / 4
     }
@@ -323,7 +315,7 @@
             .endpoint_protocol()
             .strip_connection_headers(&mut parts.headers);
         let is_stream = matches!(self.route.kind, RouteKind::Streaming { .. }) && is_success;
-        let can_resume = is_stream && self.is_repeatable();
+        let can_resume = is_stream && self.route.may_run_again();
         let timers = self.entry.cx().timers.clone();
         let ends_at = self.ends_at;
         let relay = Relay {
@@ -359,7 +351,7 @@
 
     /// Returns how long the head of an answer is awaited.
     fn answer_limit(&self, time_left: Duration) -> Duration {
-        let can_repeat = self.is_repeatable() && self.runs + 1 < self.route.max_attempts;
+        let can_repeat = self.route.may_run_again() && self.runs + 1 < self.route.max_attempts;
         if can_repeat
             && self
                 .entry
