Quotas: one account of kept parts on both sides of a cut, restarts counted anew

Up to 1.2 s before the silence was noticed were kept by nobody. - A restarted entry began with half a second of units, whatever the account had used. - An entry known to be down stayed so for those that were cut off when it came back. - An entry cut off from the store too lapses; the others forgot its part.

Ruled out: the tolerance as such.

Now: a part is half equal, half by demand, so all parts add up to one; the silent time is kept for the silent entry and corrected by what it used once it is heard; a new process takes over levels; "down" has to be confirmed; an entry that is no longer announced is asked until its machine refuses, or for 20 s.

--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -339,7 +339,8 @@
     /// Notes that another entry's process does not run.
     pub fn set_peer_down(&self, entry: &EntryName) {
         self.lose_peer(entry);
-        self.lock().quotas.set_down(entry);
+        let now = self.cx.timers.now();
+        self.lock().quotas.set_down(now, entry);
     }
 
     /// Forgets another entry that has ended.
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -39,6 +39,7 @@
 use slog::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 
 use self::link::Link;
 use self::message::UsageWire;
@@ -59,6 +60,10 @@
 /// Longest pause between questions to an entry that does not answer.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
 
+/// Time for which an entry that is no longer announced is still asked, in case it is cut off
+/// from the platform alone.
+const ASKED_AFTER_END: Duration = Duration::from_secs(20);
+
 /// Largest message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
 
@@ -111,10 +116,19 @@
 pub struct Exchange {
     entry: Arc<Entry>,
     snapshots: Arc<dyn Snapshots>,
-    peers: Mutex<HashMap<EntryName, (SocketAddr, tokio::task::AbortHandle)>>,
+    peers: Mutex<HashMap<EntryName, Known>>,
     heard: Mutex<HashMap<EntryName, Heard>>,
 }
 
+/// Another entry that is asked.
+#[derive(Debug)]
+struct Known {
+    addr: SocketAddr,
+    task: AbortHandle,
+    /// Since when it is no longer announced.
+    ended_at: Option<Monotonic>,
+}
+
 /// When another entry was heard, and whether it holds newer tables or endpoints.
 #[derive(Debug, Clone, Copy)]
 struct Heard {
@@ -134,31 +148,53 @@
         })
     }
 
-    /// Replaces the known entries.
-    pub fn set_peers(self: &Arc<Self>, peers: HashMap<EntryName, SocketAddr>) {
-        let own = &self.entry.identity().name;
+    /// Replaces the entries that are announced.
+    pub fn set_peers(self: &Arc<Self>, mut peers: HashMap<EntryName, SocketAddr>) {
+        peers.remove(&self.entry.identity().name);
+        let now = self.entry.cx().timers.now();
         let mut known = self.lock();
-        known.retain(|name, (addr, task)| {
-            let stays = peers.get(name) == Some(addr);
-            if !stays {
-                task.abort();
-                self.entry.forget_peer(name);
-                info!(self.entry.cx().log, "entry gone"; "entry" => name.as_str());
+        for (name, peer) in known.iter_mut() {
+            let is_announced = peers.get(name) == Some(&peer.addr);
+            if is_announced {
+                peer.ended_at = None;
+            } else if peer.ended_at.is_none() {
+                peer.ended_at = Some(now);
+                info!(self.entry.cx().log, "entry no longer announced"; "entry" => name.as_str());
             }
-            stays
-        });
+        }
         for (name, addr) in peers {
-            if name == *own || known.contains_key(&name) {
+            if known.get(&name).is_some_and(|peer| peer.addr == addr) {
                 continue;
             }
             info!(self.entry.cx().log, "entry known"; "entry" => name.as_str(),
                 "address" => %addr);
             self.entry.expect_peer(&name);
             let task = tokio::spawn(Arc::clone(self).ask_regularly(name.clone(), addr));
-            known.insert(name, (addr, task.abort_handle()));
+            let peer = Known {
+                addr,
+                task: task.abort_handle(),
+                ended_at: None,
+            };
+            if let Some(before) = known.insert(name, peer) {
+                before.task.abort();
+            }
         }
     }
 
+    /// Forgets an entry that is no longer announced once it does not run or was silent for long.
+    fn forget_ended(&self, name: &EntryName, is_down: bool) -> bool {
+        let now = self.entry.cx().timers.now();
+        let mut known = self.lock();
+        let ended_at = known.get(name).and_then(|peer| peer.ended_at);
+        let is_over = ended_at.is_some_and(|at| is_down || now.since(at) > ASKED_AFTER_END);
+        if is_over {
+            known.remove(name);
+            self.entry.forget_peer(name);
+            info!(self.entry.cx().log, "entry gone"; "entry" => name.as_str());
+        }
+        is_over
+    }
+
     /// Answers the questions of other entries until the process ends.
     ///
     /// # Errors
@@ -243,6 +279,7 @@
                 cx.timers.after(PERIOD).await;
                 continue;
             }
+            let mut is_down = false;
             match self.ask(&mut link).await {
                 Ok(()) => {
                     if failures >= FAILURES_BEFORE_LOSS {
@@ -252,7 +289,8 @@
                 }
                 Err(e) => {
                     failures += 1;
-                    if is_refused(&e) {
+                    is_down = is_refused(&e);
+                    if is_down {
                         self.entry.set_peer_down(&name);
                     }
                     if failures == FAILURES_BEFORE_LOSS {
@@ -261,6 +299,9 @@
                     }
                 }
             }
+            if self.forget_ended(&name, is_down) {
+                return;
+            }
             let pause = PERIOD * 2_u32.pow(failures.saturating_sub(1).min(4));
             cx.timers.after(pause.min(MAX_PAUSE)).await;
         }
@@ -293,7 +334,7 @@
             .expect("no code panics while it holds what was heard")
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<EntryName, (SocketAddr, tokio::task::AbortHandle)>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<EntryName, Known>> {
         self.peers
             .lock()
             .expect("no code panics while it holds the peers")
--- a/crates/direct/src/exchange/message.rs
+++ b/crates/direct/src/exchange/message.rs
@@ -39,8 +39,9 @@
 #[derive(Serialize, Deserialize)]
 struct AccountUseWire {
     account: AccountName,
-    admitted: u64,
-    asked: u64,
+    admitted: i64,
+    asked: i64,
+    level: i64,
 }
 
 #[derive(Debug, Clone)]
@@ -118,6 +119,7 @@
             account: usage.account,
             admitted: whole(usage.admitted),
             asked: whole(usage.asked),
+            level: whole(usage.level),
         }
     }
 }
@@ -128,6 +130,7 @@
             account: wire.account,
             admitted: wire.admitted as f64,
             asked: wire.asked as f64,
+            level: wire.level as f64,
         }
     }
 }
@@ -160,11 +163,10 @@
 /// Rounds a count of units; a part of a unit does not matter to a quota.
 #[expect(
     clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
     reason = "the value is clamped to the range of the type"
 )]
-const fn whole(units: f64) -> u64 {
-    units.clamp(0.0, 9e15) as u64
+const fn whole(units: f64) -> i64 {
+    units.clamp(-9e15, 9e15) as i64
 }
 
 pub(super) fn encode<T: Serialize>(message: &T) -> Result<Bytes> {
--- a/crates/direct/src/quota.rs
+++ b/crates/direct/src/quota.rs
@@ -1,9 +1,13 @@
 //! Quotas of client accounts over all entries, without agreement between them.
 //!
 //! Each entry keeps a token bucket for each account and takes out of it what it admits itself
-//! and what the other entries tell that they admitted. While another entry cannot be heard, it
-//! counts as if it used the part of the rate that it had asked for when it was last heard. Both
-//! sides of a cut reckon with the same parts, so their sum stays within the quota.
+//! and what the other entries tell that they admitted. While another entry cannot be heard, its
+//! part of the rate, reckoned from what all were asked when it was last heard, is kept for it.
+//! Both sides of a cut reckon with the same parts, so their sum stays within the quota; when
+//! they meet again, each corrects its bucket by what the other one really used.
+
+mod bucket;
+mod peer;
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -12,21 +16,21 @@
 use eelgrassramp::EntryName;
 use eelgrassramp::Monotonic;
 
+use self::bucket::Bucket;
+use self::bucket::Fill;
+use self::peer::Peer;
+use self::peer::PeerUse;
 use crate::deployment::Quota;
-use crate::faded::Faded;
 use crate::line::Urgency;
 
-/// Silence after which another entry counts as if it used its part.
-const PEER_SILENCE: Duration = Duration::from_millis(1_200);
-
-/// Time after which a silent entry counts as gone.
-const PEER_GONE: Duration = Duration::from_secs(20);
-
 /// Seconds of its rate that a bucket holds when a process starts.
 const START_SECONDS: f64 = 0.5;
 
-/// Time over which an account's demand is remembered.
-const DEMAND_MEMORY: Duration = Duration::from_secs(2);
+/// Time after the first other entry was heard in which a new process takes over levels.
+const SETTLING: Duration = Duration::from_millis(500);
+
+/// Part of each rate that is shared equally, whatever was asked of each entry.
+const EQUAL_SHARE: f64 = 0.5;
 
 /// Part of the tolerance that callers get; the rest covers what entries tell each other late.
 const USED_TOLERANCE: f64 = 0.55;
@@ -85,30 +89,6 @@
     }
 }
 
-#[derive(Debug)]
-struct Bucket {
-    level: f64,
-    at: Monotonic,
-    /// Units admitted by this entry since its start.
-    admitted: f64,
-    /// Units asked of this entry.
-    asked: Faded,
-}
-
-#[derive(Debug, Default)]
-struct Peer {
-    /// `None` until it was heard for the first time.
-    heard_at: Option<Monotonic>,
-    known_at: Monotonic,
-    incarnation: u64,
-    admitted: HashMap<AccountName, f64>,
-    /// Units a second asked of it.
-    asked: HashMap<AccountName, f64>,
-    /// Its parts of the rates when it was last heard.
-    parts: HashMap<AccountName, f64>,
-    is_down: bool,
-}
-
 /// What an entry tells of one account.
 #[derive(Debug, Clone, PartialEq)]
 pub struct AccountUse {
@@ -118,6 +98,8 @@
     pub admitted: f64,
     /// Units a second asked of late.
     pub asked: f64,
+    /// Units in the entry's bucket.
+    pub level: f64,
 }
 
 /// The quotas of all accounts as one entry sees them.
@@ -126,6 +108,10 @@
     tolerance: Tolerance,
     buckets: HashMap<AccountName, Bucket>,
     peers: HashMap<EntryName, Peer>,
+    /// When the first other entry was heard.
+    met_at: Option<Monotonic>,
+    /// Units a second asked of all other entries that run.
+    asked_of_others: HashMap<AccountName, f64>,
 }
 
 impl Quotas {
@@ -136,6 +122,8 @@
             tolerance,
             buckets: HashMap::new(),
             peers: HashMap::new(),
+            met_at: None,
+            asked_of_others: HashMap::new(),
         }
     }
 
@@ -154,15 +142,22 @@
         if quota.per_second <= 0.0 {
             return Ok(());
         }
+        self.keep_for_silent(now);
         let own_part = 1.0 - self.silent_part(now, account);
-        let per_second = self.tolerance.per_second(quota) * own_part;
-        let burst = quota.burst * own_part;
-        let bucket = self.bucket(now, account, quota, per_second, burst);
-        bucket.asked.add(now, demand.units);
-        let reserve = demand.reserve() * burst;
+        let whole = Fill {
+            per_second: self.tolerance.per_second(quota),
+            burst: quota.burst,
+        };
+        let fill = whole.of_part(own_part);
+        let start = (quota.per_second * START_SECONDS * own_part).min(fill.burst);
+        let bucket = self.buckets.entry(account.clone());
+        let bucket = bucket.or_insert_with(|| Bucket::new(now, start));
+        bucket.refill(now, whole, own_part);
+        bucket.ask(now, demand.units);
+        let reserve = demand.reserve() * fill.burst;
         if bucket.level <= reserve {
-            let missing = reserve + demand.units.min(burst) - bucket.level;
-            let seconds = missing / per_second.max(1.0);
+            let missing = reserve + demand.units.min(fill.burst) - bucket.level;
+            let seconds = missing / fill.per_second.max(1.0);
             return Err(Duration::from_secs_f64(seconds.clamp(0.2, 30.0)));
         }
         bucket.level -= demand.units;
@@ -178,14 +173,16 @@
         }
     }
 
-    /// Returns what this entry tells the others.
+    /// Returns what this entry tells the others of the accounts that asked here.
     #[must_use]
     pub fn usage(&self, now: Monotonic) -> Vec<AccountUse> {
         let buckets = self.buckets.iter();
-        let usage = buckets.map(|(account, bucket)| AccountUse {
+        let asked_here = buckets.filter(|(_, bucket)| bucket.whole().is_some());
+        let usage = asked_here.map(|(account, bucket)| AccountUse {
             account: account.clone(),
             admitted: bucket.admitted,
-            asked: bucket.asked.per_second(now),
+            asked: bucket.asked(now),
+            level: bucket.level_at(now),
         });
         usage.collect()
     }
@@ -198,30 +195,72 @@
         incarnation: u64,
         usage: &[AccountUse],
     ) {
+        let is_new = self.met_at.is_none_or(|at| now.since(at) < SETTLING);
+        self.met_at.get_or_insert(now);
         let mut peer = self.peers.remove(entry).unwrap_or_default();
-        let is_same = peer.incarnation == incarnation;
-        let is_continuous = is_same && peer.silence(now) < PEER_SILENCE;
-        for account in usage {
-            let before = peer
-                .admitted
-                .insert(account.account.clone(), account.admitted);
-            // While the entry was silent its part of the rate was taken already.
-            let change = before
-                .filter(|_| is_continuous)
-                .map_or(0.0, |before| account.admitted - before);
-            if let Some(bucket) = self.buckets.get_mut(&account.account) {
-                bucket.level -= change;
-            }
-            peer.asked.insert(account.account.clone(), account.asked);
-            let part = self.part(now, &account.account, account.asked);
-            peer.parts.insert(account.account.clone(), part);
+        let is_same = peer.heard_at.is_some() && peer.incarnation == incarnation;
+        if !is_same {
+            peer.count_anew();
+        }
+        for told in usage {
+            self.take_in(now, &peer, is_same, told, is_new);
+            let before = peer.accounts.get(&told.account).copied();
+            let part = self.note_asked(now, before.unwrap_or_default(), told);
+            let told_use = PeerUse {
+                admitted: told.admitted,
+                asked: told.asked,
+                part,
+            };
+            peer.accounts.insert(told.account.clone(), told_use);
         }
         peer.heard_at = Some(now);
         peer.incarnation = incarnation;
-        peer.is_down = false;
+        peer.is_kept_for = false;
+        peer.down_at = None;
         self.peers.insert(entry.clone(), peer);
     }
 
+    /// Corrects the bucket of one account by what another entry tells.
+    fn take_in(
+        &mut self,
+        now: Monotonic,
+        peer: &Peer,
+        is_same: bool,
+        told: &AccountUse,
+        is_new: bool,
+    ) {
+        let is_first = peer.heard_at.is_none();
+        let bucket = self.buckets.entry(told.account.clone());
+        let bucket = bucket.or_insert_with(|| Bucket::new(now, told.level));
+        let Some(whole) = bucket.whole().filter(|_| !(is_first && is_new)) else {
+            bucket.adopt(now, told.level);
+            return;
+        };
+        let before = peer.accounts.get(&told.account);
+        let used = told.admitted - before.map_or(0.0, |u| u.admitted);
+        if !peer.is_kept_for {
+            bucket.charge(now, used);
+        } else if is_same {
+            // What the other entry left of its part is no more than its part of a burst.
+            let most = peer.part(&told.account, 0.0) * whole.burst;
+            let kept = peer.kept(now, &told.account, whole);
+            bucket.charge(now, (used - kept).max(-most));
+        }
+    }
+
+    /// Notes what is asked of another entry, and returns its part of the rate.
+    fn note_asked(&mut self, now: Monotonic, before: PeerUse, told: &AccountUse) -> f64 {
+        let others = self.asked_of_others.entry(told.account.clone());
+        let others = others.or_default();
+        *others = (*others + told.asked - before.asked).max(told.asked);
+        let own = self.buckets.get(&told.account);
+        let all = *others + own.map_or(0.0, |bucket| bucket.asked(now));
+        // The entry that speaks is not among the others while it is heard.
+        let equal = 1.0 / f64::from(self.entries() + 1);
+        let by_demand = if all > 0.0 { told.asked / all } else { equal };
+        EQUAL_SHARE * equal + (1.0 - EQUAL_SHARE) * by_demand
+    }
+
     /// Notes that another entry exists, heard or not.
     pub fn expect(&mut self, now: Monotonic, entry: &EntryName) {
         self.peers.entry(entry.clone()).or_insert_with(|| Peer {
@@ -231,15 +270,20 @@
     }
 
     /// Notes that another entry's process does not run, so that it admits nothing.
-    pub fn set_down(&mut self, entry: &EntryName) {
+    ///
+    /// This holds for a short time only, because the process may start where it cannot be heard.
+    pub fn set_down(&mut self, now: Monotonic, entry: &EntryName) {
         if let Some(peer) = self.peers.get_mut(entry) {
-            peer.is_down = true;
+            forget_asked(&mut self.asked_of_others, peer);
+            peer.set_down(now);
         }
     }
 
     /// Forgets another entry that has ended.
     pub fn forget(&mut self, entry: &EntryName) {
-        self.peers.remove(entry);
+        if let Some(peer) = self.peers.remove(entry) {
+            forget_asked(&mut self.asked_of_others, &peer);
+        }
     }
 
     /// Returns the entries that exist, this one included.
@@ -248,60 +292,37 @@
         u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX)
     }
 
-    /// Returns the part of an account's rate that entries may use that cannot be heard.
-    fn silent_part(&self, now: Monotonic, account: &AccountName) -> f64 {
-        let equal = 1.0 / f64::from(self.entries());
-        let silent = self.peers.values().filter(|peer| peer.is_silent(now));
-        let parts = silent.map(|peer| peer.parts.get(account).copied().unwrap_or(equal));
-        parts.sum::<f64>().min(1.0 - equal)
-    }
-
-    /// Returns the part of an account's demand that `asked` is.
-    fn part(&self, now: Monotonic, account: &AccountName, asked: f64) -> f64 {
-        let own = self.buckets.get(account);
-        let own = own.map_or(0.0, |bucket| bucket.asked.per_second(now));
-        let others = self.peers.values().filter(|peer| !peer.is_silent(now));
-        let others: f64 = others.filter_map(|peer| peer.asked.get(account)).sum();
-        let all = own + others + asked;
-        if all > 0.0 {
-            asked / all
-        } else {
-            1.0 / f64::from(self.entries() + 1)
+    /// Takes out of each bucket what entries may have used since they were last heard.
+    fn keep_for_silent(&mut self, now: Monotonic) {
+        for peer in self.peers.values_mut() {
+            if peer.is_kept_for || !peer.is_silent(now) {
+                continue;
+            }
+            peer.is_kept_for = true;
+            if peer.heard_at.is_none() {
+                continue;
+            }
+            for (account, bucket) in &mut self.buckets {
+                if let Some(whole) = bucket.whole() {
+                    bucket.charge(now, peer.kept(now, account, whole));
+                }
+            }
         }
     }
 
-    fn bucket(
-        &mut self,
-        now: Monotonic,
-        account: &AccountName,
-        quota: &Quota,
-        per_second: f64,
-        burst: f64,
-    ) -> &mut Bucket {
-        let bucket = self
-            .buckets
-            .entry(account.clone())
-            .or_insert_with(|| Bucket {
-                level: (quota.per_second * START_SECONDS).min(burst),
-                at: now,
-                admitted: 0.0,
-                asked: Faded::new(DEMAND_MEMORY),
-            });
-        let age = now.since(bucket.at).as_secs_f64();
-        bucket.level = (bucket.level + per_second * age).min(burst);
-        bucket.at = now;
-        bucket
+    /// Returns the part of an account's rate that is kept for entries that cannot be heard.
+    fn silent_part(&self, now: Monotonic, account: &AccountName) -> f64 {
+        let equal = 1.0 / f64::from(self.entries());
+        let silent = self.peers.values().filter(|peer| peer.is_silent(now));
+        let parts: f64 = silent.map(|peer| peer.part(account, equal)).sum();
+        parts.min(1.0 - EQUAL_SHARE * equal)
     }
 }
 
-impl Peer {
-    fn silence(&self, now: Monotonic) -> Duration {
-        now.since(self.heard_at.unwrap_or(self.known_at))
-    }
-
-    /// An entry that was never heard may have admitted much already.
-    fn is_silent(&self, now: Monotonic) -> bool {
-        let is_late = self.heard_at.is_none() || self.silence(now) > PEER_SILENCE;
-        !self.is_down && is_late && self.silence(now) < PEER_GONE
+fn forget_asked(asked_of_others: &mut HashMap<AccountName, f64>, peer: &Peer) {
+    for (account, used) in &peer.accounts {
+        if let Some(asked) = asked_of_others.get_mut(account) {
+            *asked = (*asked - used.asked).max(0.0);
+        }
     }
 }
--- a/crates/direct/tests/quota.rs
+++ b/crates/direct/tests/quota.rs
@@ -171,7 +171,7 @@
     silent.expect(Monotonic::ZERO, &name(1));
     let mut down = Quotas::new(Tolerance::NONE);
     down.expect(Monotonic::ZERO, &name(1));
-    down.set_down(&name(1));
+    down.set_down(Monotonic::from_millis(6_000), &name(1));
     for quotas in [&mut silent, &mut down] {
         let _first = quotas.take(
             Monotonic::from_millis(7_500),
