--- a/crates/direct/src/handle.rs
+++ b/crates/direct/src/handle.rs
@@ -14,7 +14,6 @@
 use http::header::CONNECTION;
 use http::header::CONTENT_LENGTH;
 use http::header::HOST;
-use http::header::TRANSFER_ENCODING;
 use http::request::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Either;
@@ -142,13 +141,15 @@
     Ok(Response::from_parts(parts, Either::Right(frames)))
 }
 
-/// Refuses requests whose end two parsers could see in different places.
+/// Refuses requests whose end or host two parsers could see in different places.
+///
+/// The HTTP library refuses lengths that differ, and reads a request that states both a length
+/// and chunks by its chunks, on a connection that it closes afterwards.
 fn check_framing(parts: &Parts) -> Result<(), Refusal> {
     let headers = &parts.headers;
     let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
-    let is_chunked = headers.contains_key(TRANSFER_ENCODING);
     let hosts = headers.get_all(HOST).iter().count();
-    let detail = if lengths > 1 || (lengths == 1 && is_chunked) {
+    let detail = if lengths > 1 {
         "the length of the body is stated more than once"
     } else if hosts > 1 {
         "the host is stated more than once"
