--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -92,8 +92,7 @@
     identity: Identity,
     caller_protocol: Arc<dyn CallerProtocol>,
     endpoint_protocol: Arc<dyn EndpointProtocol>,
-    retry_limits: RetryLimits,
-    exposure: ExposureLimits,
+    limits: ArcSwap<FleetLimits>,
     reports: Arc<dyn ReportSink>,
     deployment: ArcSwapOption<Deployment>,
     has_tables: Notify,
@@ -122,8 +121,7 @@
             cx: cx.clone(),
             caller_protocol,
             endpoint_protocol,
-            retry_limits: fleet_limits.retry,
-            exposure: fleet_limits.exposure,
+            limits: ArcSwap::from_pointee(fleet_limits),
             reports,
             deployment: ArcSwapOption::empty(),
             has_tables: Notify::new(),
@@ -163,6 +161,12 @@
         &self.meters
     }
 
+    /// Puts other limits in force; a move that has begun keeps its own.
+    pub fn set_limits(&self, limits: FleetLimits) {
+        self.lock().quotas.set_tolerance(limits.quota);
+        self.limits.store(Arc::new(limits));
+    }
+
     /// Returns the tables in force.
     #[must_use]
     pub fn deployment(&self) -> Option<Arc<Deployment>> {
@@ -224,7 +228,7 @@
                 "version" => order.target.as_str(), "ended" => ?order.ended,
                 "duration_ms" => u64::try_from(order.duration.as_millis()).unwrap_or(u64::MAX));
         }
-        let limits = self.exposure;
+        let limits = self.limits.load().exposure;
         self.lock().dispatcher.set_orders(now, orders, limits);
     }
 
@@ -387,7 +391,7 @@
         let now = self.cx.timers.now();
         let mut state = self.lock();
         let budget = state.budgets.entry(pool.clone()).or_default();
-        budget.count_request(now, &self.retry_limits);
+        budget.count_request(now, &self.limits.load().retry);
     }
 
     /// Spends one repeat, when one is left.
@@ -396,7 +400,7 @@
         let mut state = self.lock();
         let entries = state.quotas.entries();
         let budget = state.budgets.entry(pool.clone()).or_default();
-        budget.try_spend(now, &self.retry_limits, entries)
+        budget.try_spend(now, &self.limits.load().retry, entries)
     }
 
     /// Takes a request's units from its account's quota.
--- a/crates/direct/src/meters.rs
+++ b/crates/direct/src/meters.rs
@@ -8,6 +8,7 @@
 
 use eelgrassramp::Kind;
 use eelgrassramp::RouteName;
+use eelgrassramp::log::LineCount;
 use hdrhistogram::Histogram;
 
 use crate::journal::Ending;
@@ -67,9 +68,19 @@
 #[derive(Debug, Default)]
 pub struct Meters {
     state: Mutex<State>,
+    log_lines: LineCount,
 }
 
 impl Meters {
+    /// Creates meters that also show what became of the lines of the log.
+    #[must_use]
+    pub fn new(log_lines: LineCount) -> Self {
+        Self {
+            state: Mutex::default(),
+            log_lines,
+        }
+    }
+
     pub(crate) fn count_end(&self, route: &RouteName, ending: Ending, took: Duration) {
         let mut state = self.lock();
         let is_new = !state.routes.contains_key(route.as_str());
@@ -128,6 +139,8 @@
             let name = format!("store_calls{{kind=\"{kind}\",result=\"{result}\"}}");
             line(&mut out, &name, *count);
         }
+        let unwritten = self.log_lines.unwritten();
+        line(&mut out, "log_lines_unwritten", unwritten);
         for gauge in gauges {
             let _written = writeln!(out, "eelgrassramp_{} {}", gauge.name, gauge.value);
         }
--- a/crates/direct/src/quota.rs
+++ b/crates/direct/src/quota.rs
@@ -127,6 +127,11 @@
         }
     }
 
+    /// Changes how far the sum over all entries may go beyond a quota.
+    pub const fn set_tolerance(&mut self, tolerance: Tolerance) {
+        self.tolerance = tolerance;
+    }
+
     /// Takes units for a request, or returns when they will be there.
     ///
     /// # Errors
--- a/crates/programs/src/run.rs
+++ b/crates/programs/src/run.rs
@@ -84,11 +84,13 @@
     if matches.get_flag("check") {
         return Exit::Success.into();
     }
-    run::<P>(settings).into()
+    let log = log::to_stderr(P::verbosity(&settings), P::NAME);
+    let exit = run::<P>(settings, &log.logger);
+    log.finish();
+    exit.into()
 }
 
-fn run<P: Program>(settings: P::Settings) -> Exit {
-    let log = log::to_stderr(P::verbosity(&settings), P::NAME);
+fn run<P: Program>(settings: P::Settings, log: &Logger) -> Exit {
     let runtime = match tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
@@ -100,7 +102,7 @@
         }
     };
     let outcome = runtime.block_on(async {
-        let cx = context(&log, P::statsd(&settings))?;
+        let cx = context(log, P::statsd(&settings))?;
         tokio::spawn(stop_on_signal(log.clone(), cx.stop.clone()));
         info!(log, "process started"; "pid" => std::process::id());
         P::serve(settings, cx).await
--- a/crates/standins/src/cli/demo.rs
+++ b/crates/standins/src/cli/demo.rs
@@ -23,15 +23,19 @@
     let options = demo::Options {
         bad_version: args.get_flag("bad-version"),
     };
-    let log = if args.get_flag("logs") {
-        log::to_stderr(log::Verbosity::Info, "eelgrassramp-bench")
-    } else {
-        log::discard()
-    };
+    let written = args
+        .get_flag("logs")
+        .then(|| log::to_stderr(log::Verbosity::Info, "eelgrassramp-bench"));
+    let log = written
+        .as_ref()
+        .map_or_else(log::discard, |log| log.logger.clone());
     let report = demo::Report {
         load: in_real_time(log, |cx| demo::serve_load(&experiment, cx))?,
         moved: demo::simulate_move(&experiment, options)?,
     };
+    if let Some(written) = written {
+        written.finish();
+    }
     println!("{report}");
     if let Some(path) = args.get_one::<PathBuf>("json") {
         write(path, &report)?;
