Metrics by route, account, pool and rank; answers without a body are settled

Metrics page: endings, refusals and latencies by route, account, pool and rank; waiting by pool, repeats left, quota units and kept parts, ages of what the store and the other entries told.

Found by the new test of the page: an answer without data (no length, HEAD, 204) was never asked for data by the server, so its flight ended as "caller gone": a failure with an empty body did not speak against its endpoint, and the connection was not kept (3 connections for 3 requests, now 1). Its end is noticed when its head is read.

--- a/crates/direct/src/dispatcher.rs
+++ b/crates/direct/src/dispatcher.rs
@@ -189,6 +189,13 @@
         self.pools.values().map(|p| p.line.len()).sum()
     }
 
+    /// Returns how many requests wait for each pool.
+    pub fn waiting(&self) -> impl Iterator<Item = (&PoolName, usize)> {
+        self.pools
+            .iter()
+            .map(|(name, pool)| (name, pool.line.len()))
+    }
+
     /// Asks for an endpoint for a new request.
     pub fn enter(&mut self, now: Monotonic, ticket: Ticket) -> Placed {
         let view = self.view();
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -286,17 +286,14 @@
     /// Returns values of the moment for the metrics page.
     #[must_use]
     pub fn gauges(&self) -> Vec<Gauge> {
-        let state = self.lock();
-        let in_flight = state.dispatcher.in_flight();
-        let in_flight: u32 = in_flight.iter().map(|(_, n)| n).sum();
-        let gauge = |name, value| Gauge { name, value };
-        vec![
-            gauge("tables_version", self.deployment_version() as f64),
-            gauge("endpoints", self.endpoints.load().len() as f64),
-            gauge("waiting", state.dispatcher.all_waiting() as f64),
-            gauge("in_flight", f64::from(in_flight)),
-            gauge("entries", f64::from(state.quotas.entries())),
-        ]
+        let now = self.cx.timers.now();
+        let mut gauges = vec![
+            Gauge::new("tables_version", self.deployment_version() as f64),
+            Gauge::new("endpoints", self.endpoints.load().len() as f64),
+        ];
+        let retry_limits = self.limits.load().retry;
+        gauges.extend(self.lock().gauges(now, &retry_limits));
+        gauges
     }
 
     /// Returns what the other entries have to know.
--- a/crates/direct/src/entry/state.rs
+++ b/crates/direct/src/entry/state.rs
@@ -14,9 +14,11 @@
 use crate::dispatcher::Wake;
 use crate::endpoint::EndpointKey;
 use crate::lane::Outcome;
+use crate::meters::Gauge;
 use crate::quota::Quotas;
 use crate::registry::Registry;
 use crate::retry::RetryBudget;
+use crate::retry::RetryLimits;
 
 /// Time for which another entry's work counts after it was heard.
 const OTHERS_LIFETIME: Duration = Duration::from_millis(1_500);
@@ -41,6 +43,49 @@
 }
 
 impl State {
+    /// Returns what waits, what is in flight, and what is left of quotas and repeats.
+    pub(super) fn gauges(&self, now: Monotonic, limits: &RetryLimits) -> Vec<Gauge> {
+        let in_flight = self.dispatcher.in_flight();
+        let in_flight: u32 = in_flight.iter().map(|(_, n)| n).sum();
+        let entries = self.quotas.entries();
+        let mut gauges = vec![
+            Gauge::new("in_flight", f64::from(in_flight)),
+            Gauge::new("entries", f64::from(entries)),
+            Gauge::new("entries_silent", f64::from(self.quotas.silent_entries(now))),
+        ];
+        let oldest = self.quotas.longest_silence(now).as_millis() as f64;
+        gauges.push(Gauge::new("entries_age_ms", oldest));
+        for (pool, waiting) in self.dispatcher.waiting() {
+            let waiting = waiting as f64;
+            gauges.push(Gauge::with_label("waiting", "pool", pool.as_str(), waiting));
+        }
+        for (pool, budget) in &self.budgets {
+            let left = budget.left(now, limits, entries);
+            gauges.push(Gauge::with_label(
+                "repeats_left",
+                "pool",
+                pool.as_str(),
+                left,
+            ));
+        }
+        for left in self.quotas.left(now) {
+            let name = left.account.as_str();
+            gauges.push(Gauge::with_label(
+                "quota_units",
+                "account",
+                name,
+                left.units,
+            ));
+            gauges.push(Gauge::with_label(
+                "quota_part",
+                "account",
+                name,
+                left.own_part,
+            ));
+        }
+        gauges
+    }
+
     /// Tells a waiting request its turn or its end.
     pub(super) fn wake(&mut self, now: Monotonic, wake: Wake) {
         let (seq, result) = match wake {
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -18,6 +18,7 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body;
 use hyper::body::Incoming;
 
 use crate::connections::Connection;
@@ -318,7 +319,8 @@
         let can_resume = is_stream && self.route.may_run_again();
         let timers = self.entry.cx().timers.clone();
         let ends_at = self.ends_at;
-        let relay = Relay {
+        let has_ended = body.is_end_stream();
+        let mut relay = Relay {
             entry: Arc::clone(&self.entry),
             body,
             connection: Some(connection),
@@ -331,6 +333,10 @@
             is_framed,
             is_failure: parts.status.is_server_error(),
         };
+        if has_ended {
+            // The server asks for no data of an answer that has none.
+            relay.settle();
+        }
         Response::from_parts(parts, relay)
     }
 
--- a/crates/direct/src/handle.rs
+++ b/crates/direct/src/handle.rs
@@ -61,6 +61,8 @@
         id: Arc::from(NO_ID),
         route: RouteName::from(NO_ROUTE),
         account: None,
+        pool: None,
+        rank: None,
         tables: 0,
         arrived,
     };
@@ -97,11 +99,14 @@
     story.route = route.name.clone();
     let account = find_account(&deployment, &route, &call)?;
     story.account = account.as_ref().map(|a| a.name.clone());
+    let rank = account.as_ref().and_then(|a| a.rank);
+    story.rank = Some(rank.unwrap_or(route.rank));
     let body = receive(entry, &deployment, body).await?;
     let pool = route.pool(entry.draw()).cloned().ok_or_else(|| {
         let detail = format!("route \"{}\" names no pool", route.name);
         Refusal::from(Error::new(Kind::PoolUnavailable, detail))
     })?;
+    story.pool = Some(pool.clone());
     let urgency = Urgency::new(account.as_ref().and_then(|a| a.rank), route.rank);
     let units = charge(entry, account.as_deref(), &call, urgency)?;
     entry.count_request(&pool);
--- a/crates/direct/src/journal.rs
+++ b/crates/direct/src/journal.rs
@@ -11,6 +11,7 @@
 use eelgrassramp::AccountName;
 use eelgrassramp::Error;
 use eelgrassramp::Monotonic;
+use eelgrassramp::PoolName;
 use eelgrassramp::RouteName;
 use slog::debug;
 use slog::info;
@@ -19,6 +20,7 @@
 use crate::dispatcher::Grant;
 use crate::endpoint::Endpoint;
 use crate::entry::Entry;
+use crate::meters::Labels;
 
 /// Lines a second about requests that were sent, and as many about requests that ended.
 const SUCCESS_LINES_PER_SECOND: f64 = 120.0;
@@ -140,7 +142,7 @@
 }
 
 impl Ending {
-    const fn as_str(self) -> &'static str {
+    pub(crate) const fn as_str(self) -> &'static str {
         match self {
             Self::Answered { .. } => "answered",
             Self::EndpointFailed => "endpoint_failed",
@@ -155,6 +157,9 @@
     pub(crate) id: Arc<str>,
     pub(crate) route: RouteName,
     pub(crate) account: Option<AccountName>,
+    pub(crate) pool: Option<PoolName>,
+    /// Rank of its account or its route; 0 is the most urgent.
+    pub(crate) rank: Option<u32>,
     /// Version of the tables that decided about the request.
     pub(crate) tables: u64,
     pub(crate) arrived: Monotonic,
@@ -199,7 +204,7 @@
     ) {
         let now = entry.cx().timers.now();
         let took = now.since(self.arrived);
-        entry.meters().count_error(cause.kind());
+        entry.meters().count_refusal(self.labels(), cause.kind());
         if !entry.log_budget().allows(now, LineKind::Refused) {
             return;
         }
@@ -215,7 +220,7 @@
     pub(crate) fn ended(&self, entry: &Entry, endpoint: &Endpoint, ending: Ending) {
         let now = entry.cx().timers.now();
         let took = now.since(self.arrived);
-        entry.meters().count_end(&self.route, ending, took);
+        entry.meters().count_end(self.labels(), ending, took);
         if !entry.log_budget().allows(now, LineKind::Ended) {
             return;
         }
@@ -229,6 +234,15 @@
             "bytes" => bytes, "pieces" => pieces, "after_ms" => millis(took));
     }
 
+    const fn labels(&self) -> Labels<'_> {
+        Labels {
+            route: &self.route,
+            account: self.account.as_ref(),
+            pool: self.pool.as_ref(),
+            rank: self.rank,
+        }
+    }
+
     fn account(&self) -> &str {
         self.account.as_ref().map_or("", AccountName::as_str)
     }
--- a/crates/direct/src/quota.rs
+++ b/crates/direct/src/quota.rs
@@ -102,6 +102,17 @@
     pub level: f64,
 }
 
+/// What an entry may still admit for one account.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaLeft<'a> {
+    /// The account.
+    pub account: &'a AccountName,
+    /// Units in the entry's bucket.
+    pub units: f64,
+    /// Part of the rate that is not kept for entries that cannot be heard.
+    pub own_part: f64,
+}
+
 /// The quotas of all accounts as one entry sees them.
 #[derive(Debug)]
 pub struct Quotas {
@@ -297,6 +308,31 @@
         u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX)
     }
 
+    /// Returns how many other entries may use quotas without being heard.
+    #[must_use]
+    pub fn silent_entries(&self, now: Monotonic) -> u32 {
+        let silent = self.peers.values().filter(|peer| peer.is_silent(now));
+        u32::try_from(silent.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the longest time for which nothing is known of an entry's use.
+    #[must_use]
+    pub fn longest_silence(&self, now: Monotonic) -> Duration {
+        let silences = self.peers.values().map(|peer| peer.silence(now));
+        silences.max().unwrap_or_default()
+    }
+
+    /// Returns what this entry may still admit for each account that asked here.
+    pub fn left(&self, now: Monotonic) -> impl Iterator<Item = QuotaLeft<'_>> {
+        let buckets = self.buckets.iter();
+        let asked_here = buckets.filter(|(_, bucket)| bucket.whole().is_some());
+        asked_here.map(move |(account, bucket)| QuotaLeft {
+            account,
+            units: bucket.level_at(now),
+            own_part: 1.0 - self.silent_part(now, account),
+        })
+    }
+
     /// Takes out of each bucket what entries may have used since they were last heard.
     fn keep_for_silent(&mut self, now: Monotonic) {
         for peer in self.peers.values_mut() {
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -132,7 +132,7 @@
     }
 
     /// Notes that the whole answer has been read.
-    fn settle(&mut self) {
+    pub(crate) fn settle(&mut self) {
         if let Some(connection) = self.connection.take() {
             self.entry.connections().put(connection, self.keep_alive);
         }
--- a/crates/direct/src/retry.rs
+++ b/crates/direct/src/retry.rs
@@ -38,16 +38,26 @@
 
     /// Spends one repeat, when one is left.
     pub fn try_spend(&mut self, now: Monotonic, limits: &RetryLimits, entries: u32) -> bool {
+        let is_left = self.left(now, limits, entries) >= 1.0;
         self.forget(now, limits);
-        let earned = limits.ratio * self.requests.len() as f64;
-        let allowed = PLANNED_SHARE * (earned + limits.slack / f64::from(entries.max(1)));
-        let is_left = ((self.repeats.len() + 1) as f64) <= allowed;
         if is_left {
             self.repeats.push_back(now);
         }
         is_left
     }
 
+    /// Returns how many repeats are left.
+    #[must_use]
+    pub fn left(&self, now: Monotonic, limits: &RetryLimits, entries: u32) -> f64 {
+        let counts = |times: &VecDeque<Monotonic>| {
+            let recent = times.iter().filter(|at| now.since(**at) <= limits.window);
+            recent.count() as f64
+        };
+        let earned = limits.ratio * counts(&self.requests);
+        let slack = limits.slack / f64::from(entries.max(1));
+        PLANNED_SHARE * (earned + slack) - counts(&self.repeats)
+    }
+
     fn forget(&mut self, now: Monotonic, limits: &RetryLimits) {
         for times in [&mut self.requests, &mut self.repeats] {
             while times
--- a/crates/direct/src/server.rs
+++ b/crates/direct/src/server.rs
@@ -182,7 +182,9 @@
     if !req.body().is_end_stream() {
         return plain(StatusCode::BAD_REQUEST, Bytes::new());
     }
-    let text = entry.meters().render(&entry.gauges());
+    let text = entry
+        .meters()
+        .render(entry.cx().timers.now(), &entry.gauges());
     plain(StatusCode::OK, Bytes::from(text))
 }
 
