--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -1,5 +1,6 @@
 //! The state that all requests of one entry share.
 
+mod others;
 mod state;
 
 use std::collections::HashMap;
@@ -25,7 +26,7 @@
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
-use self::state::Others;
+use self::others::Others;
 use self::state::State;
 use crate::connections::Connections;
 use crate::deployment::Account;
@@ -137,7 +138,7 @@
                 quotas: Quotas::new(fleet_limits.quota),
                 registry: Registry::default(),
                 rng: cx.rng("entry"),
-                others: HashMap::new(),
+                others: Others::default(),
             }),
             identity,
         })
@@ -302,6 +303,7 @@
         let now = self.cx.timers.now();
         let state = self.lock();
         Usage {
+            is_whole: true,
             in_flight: state.dispatcher.in_flight(),
             accounts: state.quotas.usage(now),
             rollouts: state.dispatcher.rollouts(),
@@ -314,11 +316,9 @@
         let mut state = self.lock();
         state.quotas.hear(now, entry, incarnation, &usage.accounts);
         state.dispatcher.hear_rollouts(entry, usage.rollouts);
-        let others = Others {
-            heard_at: now,
-            in_flight: usage.in_flight,
-        };
-        state.others.insert(entry.clone(), others);
+        state
+            .others
+            .hear(now, entry, usage.is_whole, &usage.in_flight);
         state.count_others(now);
     }
 
@@ -332,7 +332,7 @@
     pub fn lose_peer(&self, entry: &EntryName) {
         let now = self.cx.timers.now();
         let mut state = self.lock();
-        if state.others.remove(entry).is_some() {
+        if state.others.lose(entry) {
             state.count_others(now);
         }
     }
@@ -524,6 +524,8 @@
 /// What one entry tells the others.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Usage {
+    /// Whether this is all; otherwise only what has changed.
+    pub is_whole: bool,
     /// Requests in flight by endpoint.
     pub in_flight: Vec<(EndpointKey, u32)>,
     /// Units by account.
--- a/crates/direct/src/entry/state.rs
+++ b/crates/direct/src/entry/state.rs
@@ -3,16 +3,15 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use eelgrassramp::EntryName;
 use eelgrassramp::Monotonic;
 use eelgrassramp::PoolName;
 use rand::rngs::StdRng;
 use tokio::sync::oneshot;
 
+use super::others::Others;
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::Grant;
 use crate::dispatcher::Wake;
-use crate::endpoint::EndpointKey;
 use crate::lane::Outcome;
 use crate::meters::Gauge;
 use crate::quota::Quotas;
@@ -20,15 +19,6 @@
 use crate::retry::RetryBudget;
 use crate::retry::RetryLimits;
 
-/// Time for which another entry's work counts after it was heard.
-const OTHERS_LIFETIME: Duration = Duration::from_millis(1_500);
-
-/// Work of another entry.
-pub(super) struct Others {
-    pub(super) heard_at: Monotonic,
-    pub(super) in_flight: Vec<(EndpointKey, u32)>,
-}
-
 /// What the requests of an entry share and change.
 pub(super) struct State {
     pub(super) dispatcher: Dispatcher,
@@ -38,8 +28,7 @@
     pub(super) quotas: Quotas,
     pub(super) registry: Registry,
     pub(super) rng: StdRng,
-    /// Requests in flight by entry, as the other entries told.
-    pub(super) others: HashMap<EntryName, Others>,
+    pub(super) others: Others,
 }
 
 impl State {
@@ -103,16 +92,10 @@
         }
     }
 
-    /// Sums what the other entries have in flight, without those that fell silent.
+    /// Passes on what the other entries have in flight, without those that fell silent.
     pub(super) fn count_others(&mut self, now: Monotonic) {
-        self.others
-            .retain(|_, others| now.since(others.heard_at) < OTHERS_LIFETIME);
-        let mut sum: HashMap<EndpointKey, u32> = HashMap::new();
-        let all = self.others.values().flat_map(|others| &others.in_flight);
-        for (endpoint, n) in all {
-            *sum.entry(*endpoint).or_default() += n;
-        }
-        let peers = u32::try_from(self.others.len()).unwrap_or(u32::MAX);
-        self.dispatcher.set_others(now, peers, &sum);
+        self.others.expire(now);
+        let (entries, sum) = (self.others.entries(), self.others.sum());
+        self.dispatcher.set_others(now, entries, sum);
     }
 }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -6,6 +6,7 @@
 
 mod link;
 mod message;
+mod told;
 
 use std::collections::HashMap;
 use std::convert::Infallible;
@@ -45,6 +46,7 @@
 use self::message::UsageWire;
 use self::message::decode;
 use self::message::encode;
+use self::told::Told;
 use crate::connections;
 use crate::entry::Entry;
 
@@ -221,9 +223,11 @@
         if let Err(e) = connections::tune(&stream) {
             debug!(self.entry.cx().log, "socket options failed"; "error" => %e);
         }
+        let told = Mutex::new(Told::default());
         let service = service_fn(|req| {
             let exchange = Arc::clone(&self);
-            async move { Ok::<_, Infallible>(exchange.answer(req).await) }
+            let told = &told;
+            async move { Ok::<_, Infallible>(exchange.answer(req, told).await) }
         });
         // The asking side opens a new connection when this one ends.
         let _ended = server::Builder::new()
@@ -232,14 +236,14 @@
             .await;
     }
 
-    async fn answer(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn answer(&self, req: Request<Incoming>, told: &Mutex<Told>) -> Response<Full<Bytes>> {
         let path = req.uri().path().to_owned();
         let body = Limited::new(req.into_body(), MAX_MESSAGE_BYTES).collect();
         let Ok(body) = body.await else {
             return status_only(StatusCode::PAYLOAD_TOO_LARGE);
         };
         let answer = match path.as_str() {
-            USAGE_PATH => self.answer_usage(&body.to_bytes()),
+            USAGE_PATH => self.answer_usage(&body.to_bytes(), told),
             SNAPSHOT_PATH => self.snapshots.export().and_then(|s| encode(&s)),
             _ => return status_only(StatusCode::NOT_FOUND),
         };
@@ -252,10 +256,14 @@
         }
     }
 
-    fn answer_usage(&self, body: &[u8]) -> Result<Bytes> {
+    fn answer_usage(&self, body: &[u8], told: &Mutex<Told>) -> Result<Bytes> {
         let theirs: UsageWire = decode(body)?;
         self.hear(theirs);
-        encode(&UsageWire::of(&self.entry, self.snapshots.freshness()))
+        let mut told = told
+            .lock()
+            .expect("no code panics while it holds what was told");
+        let freshness = self.snapshots.freshness();
+        encode(&UsageWire::of(&self.entry, freshness, &mut told))
     }
 
     /// Takes in what another entry tells, and returns whether it holds something newer.
@@ -273,6 +281,7 @@
     async fn ask_regularly(self: Arc<Self>, name: EntryName, addr: SocketAddr) {
         let cx = self.entry.cx().clone();
         let mut link = Link::new(&cx, addr);
+        let mut told = Told::default();
         let mut failures = 0_u32;
         loop {
             if !self.is_mine_to_ask(&name) {
@@ -280,7 +289,7 @@
                 continue;
             }
             let mut is_down = false;
-            match self.ask(&mut link).await {
+            match self.ask(&mut link, &mut told).await {
                 Ok(()) => {
                     if failures >= FAILURES_BEFORE_LOSS {
                         info!(cx.log, "entry found again"; "entry" => name.as_str());
@@ -288,6 +297,8 @@
                     failures = 0;
                 }
                 Err(e) => {
+                    // Nobody knows what of it arrived.
+                    told = Told::default();
                     failures += 1;
                     is_down = is_refused(&e);
                     if is_down {
@@ -318,8 +329,8 @@
         heard.is_none_or(|h| h.is_newer || now.since(h.at) > PERIOD * SILENT_PERIODS)
     }
 
-    async fn ask(&self, link: &mut Link) -> Result<()> {
-        let own = UsageWire::of(&self.entry, self.snapshots.freshness());
+    async fn ask(&self, link: &mut Link, told: &mut Told) -> Result<()> {
+        let own = UsageWire::of(&self.entry, self.snapshots.freshness(), told);
         let theirs: UsageWire = link.call(USAGE_PATH, encode(&own)?).await?;
         if self.hear(theirs) {
             let snapshot: Snapshot = link.call(SNAPSHOT_PATH, Bytes::new()).await?;
--- a/crates/direct/src/exchange/message.rs
+++ b/crates/direct/src/exchange/message.rs
@@ -13,6 +13,7 @@
 use serde::de::DeserializeOwned;
 
 use super::Freshness;
+use super::told::Told;
 use crate::dispatcher::RolloutUse;
 use crate::endpoint::EndpointKey;
 use crate::entry::Entry;
@@ -30,6 +31,7 @@
     pub(super) incarnation: u64,
     pub(super) tables: u64,
     pub(super) endpoints: u64,
+    is_whole: bool,
     in_flight: Vec<(EndpointKey, u32)>,
     accounts: Vec<AccountUseWire>,
     rollouts: Vec<RolloutUseWire>,
@@ -136,13 +138,16 @@
 }
 
 impl UsageWire {
-    pub(super) fn of(entry: &Entry, freshness: Freshness) -> Self {
-        let usage = entry.usage();
+    /// Returns what is to be told on a connection that has carried `told`.
+    pub(super) fn of(entry: &Entry, freshness: Freshness, told: &mut Told) -> Self {
+        let now = entry.cx().timers.now();
+        let usage = told.changes(now, entry.usage());
         Self {
             entry: entry.identity().name.clone(),
             incarnation: entry.identity().incarnation,
             tables: freshness.tables,
             endpoints: freshness.endpoints,
+            is_whole: usage.is_whole,
             in_flight: usage.in_flight,
             accounts: usage.accounts.into_iter().map(Into::into).collect(),
             rollouts: usage.rollouts.into_iter().map(Into::into).collect(),
@@ -153,6 +158,7 @@
 impl From<UsageWire> for Usage {
     fn from(wire: UsageWire) -> Self {
         Self {
+            is_whole: wire.is_whole,
             in_flight: wire.in_flight,
             accounts: wire.accounts.into_iter().map(Into::into).collect(),
             rollouts: wire.rollouts.into_iter().map(Into::into).collect(),
--- /dev/null
+++ b/crates/direct/src/exchange/told.rs
@@ -0,0 +1,72 @@
+//! What one connection to another entry has carried, so that only changes have to be told.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use eelgrassramp::AccountName;
+use eelgrassramp::Monotonic;
+
+use crate::endpoint::EndpointKey;
+use crate::entry::Usage;
+use crate::quota::AccountUse;
+
+/// Time after which everything is told again.
+const WHOLE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Change of an account's demand that is worth telling, as a part of what was told.
+const DEMAND_CHANGE: f64 = 0.2;
+
+/// What was told last on one connection.
+#[derive(Debug, Default)]
+pub(super) struct Told {
+    whole_at: Option<Monotonic>,
+    in_flight: HashMap<EndpointKey, u32>,
+    accounts: HashMap<AccountName, AccountUse>,
+}
+
+impl Told {
+    /// Returns what the other side does not know of `usage`, and notes it as told.
+    pub(super) fn changes(&mut self, now: Monotonic, usage: Usage) -> Usage {
+        let is_recent = |at: Monotonic| now.since(at) < WHOLE_PERIOD;
+        if !self.whole_at.is_some_and(is_recent) {
+            self.whole_at = Some(now);
+            self.in_flight = usage.in_flight.iter().copied().collect();
+            let accounts = usage.accounts.iter();
+            self.accounts = accounts.map(|u| (u.account.clone(), u.clone())).collect();
+            return usage;
+        }
+        Usage {
+            is_whole: false,
+            in_flight: self.changed_in_flight(&usage.in_flight),
+            accounts: self.changed_accounts(usage.accounts),
+            rollouts: usage.rollouts,
+        }
+    }
+
+    fn changed_in_flight(&mut self, now: &[(EndpointKey, u32)]) -> Vec<(EndpointKey, u32)> {
+        let now: HashMap<_, _> = now.iter().copied().collect();
+        let told = std::mem::replace(&mut self.in_flight, now);
+        let ended = told.keys().filter(|key| !self.in_flight.contains_key(key));
+        let ended = ended.map(|key| (*key, 0));
+        let other = self.in_flight.iter().map(|(key, n)| (*key, *n));
+        let other = other.filter(|(key, n)| told.get(key) != Some(n));
+        ended.chain(other).collect()
+    }
+
+    fn changed_accounts(&mut self, mut accounts: Vec<AccountUse>) -> Vec<AccountUse> {
+        accounts.retain(|now| {
+            let told = self.accounts.get(&now.account);
+            let is_known = told.is_some_and(|told| is_alike(told, now));
+            if !is_known {
+                self.accounts.insert(now.account.clone(), now.clone());
+            }
+            !is_known
+        });
+        accounts
+    }
+}
+
+fn is_alike(told: &AccountUse, now: &AccountUse) -> bool {
+    let change = (now.asked - told.asked).abs();
+    (told.admitted - now.admitted).abs() < 1.0 && change <= DEMAND_CHANGE * told.asked.max(1.0)
+}
--- a/crates/direct/src/quota.rs
+++ b/crates/direct/src/quota.rs
@@ -203,7 +203,7 @@
         usage.collect()
     }
 
-    /// Takes in what another entry has admitted since its start.
+    /// Takes in what another entry has admitted since its start, where that has changed.
     pub fn hear(
         &mut self,
         now: Monotonic,
@@ -218,7 +218,8 @@
         if !is_same {
             peer.count_anew();
         }
-        for told in usage {
+        let unchanged = peer.unchanged(usage);
+        for told in usage.iter().chain(&unchanged) {
             self.take_in(now, &peer, is_same, told, is_new);
             let before = peer.accounts.get(&told.account).copied();
             let part = self.note_asked(now, before.unwrap_or_default(), told);
@@ -253,7 +254,11 @@
             return;
         };
         let before = peer.accounts.get(&told.account);
-        let used = told.admitted - before.map_or(0.0, |u| u.admitted);
+        let mut used = told.admitted - before.map_or(0.0, |u| u.admitted);
+        if !is_same {
+            // Nobody knows when it was used; most of it may be long ago.
+            used = used.min(whole.per_second * START_SECONDS);
+        }
         if !peer.is_kept_for {
             bucket.charge(now, used);
         } else if is_same {
--- a/crates/direct/src/quota/peer.rs
+++ b/crates/direct/src/quota/peer.rs
@@ -6,6 +6,7 @@
 use eelgrassramp::AccountName;
 use eelgrassramp::Monotonic;
 
+use super::AccountUse;
 use super::bucket::Fill;
 
 /// Silence after which another entry's part of each rate is kept for it.
@@ -79,6 +80,22 @@
         }
     }
 
+    /// Returns the accounts for which units were kept in vain, as `usage` does not name them.
+    pub(super) fn unchanged(&self, usage: &[AccountUse]) -> Vec<AccountUse> {
+        if !self.is_kept_for {
+            return Vec::new();
+        }
+        let others = self.accounts.iter();
+        let others = others.filter(|(account, _)| usage.iter().all(|u| u.account != **account));
+        let unchanged = others.map(|(account, used)| AccountUse {
+            account: account.clone(),
+            admitted: used.admitted,
+            asked: used.asked,
+            level: 0.0,
+        });
+        unchanged.collect()
+    }
+
     /// Returns the units of an account that were kept for it since it was last heard.
     pub(super) fn kept(&self, now: Monotonic, account: &AccountName, whole: Fill) -> f64 {
         let part = self.part(account, 0.0);
--- a/crates/direct/tests/quota.rs
+++ b/crates/direct/tests/quota.rs
@@ -7,6 +7,7 @@
 use eelgrassramp::Monotonic;
 use eelgrassramp_direct::deployment::Quota;
 use eelgrassramp_direct::line::Urgency;
+use eelgrassramp_direct::quota::AccountUse;
 use eelgrassramp_direct::quota::Demand;
 use eelgrassramp_direct::quota::Quotas;
 use eelgrassramp_direct::quota::Tolerance;
@@ -232,3 +233,24 @@
     let again = quotas.take(now, &account(), &QUOTA, demand(1_000.0, 0));
     expect_that!(again, ok(anything()));
 }
+
+#[gtest]
+fn an_entry_that_comes_back_after_it_was_forgotten_does_not_block_the_account() {
+    let mut quotas = Quotas::new(Tolerance::NONE);
+    let long_ago = AccountUse {
+        account: account(),
+        admitted: 50.0 * QUOTA.per_second,
+        asked: 1_000.0,
+        level: 0.0,
+    };
+    let start = Monotonic::from_millis(100);
+    quotas.hear(start, &name(1), 1, &[]);
+    let _first = quotas.take(start, &account(), &QUOTA, demand(1_000.0, 0));
+    quotas.forget(&name(1));
+
+    quotas.hear(Monotonic::from_millis(30_000), &name(1), 1, &[long_ago]);
+
+    let soon = Monotonic::from_millis(31_000);
+    let taken = quotas.take(soon, &account(), &QUOTA, demand(1_000.0, 0));
+    expect_that!(taken, ok(anything()));
+}
