Tables and endpoints pass between entries only after a lag; the exchange slows with their number

Whenever another entry had read a higher revision of the store, an entry asked it for all tables and endpoints. Revisions grow with every kind of object and reach entries at different moments, so most of these copies brought nothing.

Above 50 entries the period of the exchange grows with their number, and quotas wait as many periods before an entry counts as silent. Endpoints keep their short identity instead of hashing their name with each message.

--- a/crates/direct/src/dispatcher.rs
+++ b/crates/direct/src/dispatcher.rs
@@ -159,9 +159,7 @@
     ) {
         self.peers = peers;
         for lane in self.pools.values_mut().flat_map(|p| p.lanes.values_mut()) {
-            let others = in_flight
-                .get(&EndpointKey::from(&lane.endpoint().name))
-                .copied();
+            let others = in_flight.get(&lane.key()).copied();
             lane.set_others(now, others.unwrap_or(0));
         }
     }
@@ -169,11 +167,9 @@
     /// Returns this entry's requests in flight by endpoint.
     #[must_use]
     pub fn in_flight(&self) -> Vec<(EndpointKey, u32)> {
-        let lanes = self.pools.values().flat_map(|p| p.lanes.iter());
-        lanes
-            .map(|(name, lane)| (EndpointKey::from(name), lane.in_flight()))
-            .filter(|(_, n)| *n > 0)
-            .collect()
+        let lanes = self.pools.values().flat_map(|p| p.lanes.values());
+        let busy = lanes.filter(|lane| lane.in_flight() > 0);
+        busy.map(|lane| (lane.key(), lane.in_flight())).collect()
     }
 
     /// Returns how many endpoints of `pool` take new work.
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -50,8 +50,12 @@
 use crate::connections;
 use crate::entry::Entry;
 
-/// Time between two questions to the same entry.
-const PERIOD: Duration = Duration::from_millis(100);
+/// Shortest time between two questions to the same entry.
+const MIN_PERIOD: Duration = Duration::from_millis(100);
+
+/// Entries up to which each is asked that often; with more of them, the questions of all of them
+/// to one entry stay as many.
+const ENTRIES_AT_MIN_PERIOD: u32 = 50;
 
 /// Periods without a question from another entry after which it is asked instead.
 const SILENT_PERIODS: u32 = 3;
@@ -62,6 +66,13 @@
 /// Longest pause between questions to an entry that does not answer.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
 
+/// Time for which this entry lags behind another one before it asks for its tables and endpoints:
+/// most of the time it hears of them itself.
+const LAG: Duration = Duration::from_millis(600);
+
+/// Time for which such a question may be under way.
+const CATCH_UP_PERIOD: Duration = Duration::from_millis(500);
+
 /// Time for which an entry that is no longer announced is still asked, in case it is cut off
 /// from the platform alone.
 const ASKED_AFTER_END: Duration = Duration::from_secs(20);
@@ -75,6 +86,11 @@
 /// Path on which tables and endpoints are read.
 const SNAPSHOT_PATH: &str = "/v1/snapshot";
 
+/// Returns the time between two questions to the same one of `entries` entries.
+pub(crate) fn period(entries: u32) -> Duration {
+    MIN_PERIOD * entries.div_ceil(ENTRIES_AT_MIN_PERIOD).max(1)
+}
+
 /// How new the tables and endpoints are that an entry holds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Freshness {
@@ -120,6 +136,26 @@
     snapshots: Arc<dyn Snapshots>,
     peers: Mutex<HashMap<EntryName, Known>>,
     heard: Mutex<HashMap<EntryName, Heard>>,
+    lag: Mutex<Option<Lag>>,
+}
+
+/// How this entry lags behind others.
+#[derive(Debug, Clone, Copy)]
+struct Lag {
+    /// What it held when it first lagged.
+    own: Freshness,
+    since: Monotonic,
+    asked_at: Option<Monotonic>,
+}
+
+impl Lag {
+    /// Tells whether another entry is to be asked.
+    fn is_due(&self, now: Monotonic) -> bool {
+        let is_asked = self
+            .asked_at
+            .is_some_and(|at| now.since(at) < CATCH_UP_PERIOD);
+        now.since(self.since) >= LAG && !is_asked
+    }
 }
 
 /// Another entry that is asked.
@@ -147,6 +183,7 @@
             snapshots,
             peers: Mutex::default(),
             heard: Mutex::default(),
+            lag: Mutex::default(),
         })
     }
 
@@ -211,7 +248,7 @@
                 Ok((stream, _)) => stream,
                 Err(e) => {
                     warn!(self.entry.cx().log, "accept failed"; "error" => %e);
-                    self.entry.cx().timers.after(PERIOD).await;
+                    self.entry.cx().timers.after(MIN_PERIOD).await;
                     continue;
                 }
             };
@@ -266,16 +303,43 @@
         encode(&UsageWire::of(&self.entry, freshness, &mut told))
     }
 
-    /// Takes in what another entry tells, and returns whether it holds something newer.
-    fn hear(&self, theirs: UsageWire) -> bool {
+    /// Takes in what another entry tells.
+    fn hear(&self, theirs: UsageWire) {
         let own = self.snapshots.freshness();
         let is_newer = theirs.tables > own.tables || theirs.endpoints > own.endpoints;
+        if is_newer {
+            self.note_lag(own);
+        }
         let entry = theirs.entry.clone();
         let incarnation = theirs.incarnation;
         let at = self.entry.cx().timers.now();
         self.heard().insert(entry.clone(), Heard { at, is_newer });
         self.entry.hear(&entry, incarnation, theirs.into());
-        is_newer
+    }
+
+    fn period(&self) -> Duration {
+        let peers = u32::try_from(self.lock().len()).unwrap_or(u32::MAX);
+        period(peers.saturating_add(1))
+    }
+
+    fn note_lag(&self, own: Freshness) {
+        let since = self.entry.cx().timers.now();
+        let mut lag = self.lag();
+        if lag.is_none_or(|lag| lag.own != own) {
+            *lag = Some(Lag {
+                own,
+                since,
+                asked_at: None,
+            });
+        }
+    }
+
+    /// Tells whether an entry that holds something newer is to be asked for it.
+    fn is_lagging(&self) -> bool {
+        let now = self.entry.cx().timers.now();
+        let own = self.snapshots.freshness();
+        let lag = self.lag();
+        lag.is_some_and(|lag| lag.own == own && lag.is_due(now))
     }
 
     async fn ask_regularly(self: Arc<Self>, name: EntryName, addr: SocketAddr) {
@@ -285,7 +349,7 @@
         let mut failures = 0_u32;
         loop {
             if !self.is_mine_to_ask(&name) {
-                cx.timers.after(PERIOD).await;
+                cx.timers.after(self.period()).await;
                 continue;
             }
             let mut is_down = false;
@@ -313,7 +377,7 @@
             if self.forget_ended(&name, is_down) {
                 return;
             }
-            let pause = PERIOD * 2_u32.pow(failures.saturating_sub(1).min(4));
+            let pause = self.period() * 2_u32.pow(failures.saturating_sub(1).min(4));
             cx.timers.after(pause.min(MAX_PAUSE)).await;
         }
     }
@@ -326,19 +390,32 @@
         }
         let now = self.entry.cx().timers.now();
         let heard = self.heard().get(name).copied();
-        heard.is_none_or(|h| h.is_newer || now.since(h.at) > PERIOD * SILENT_PERIODS)
+        let is_silent = heard.is_none_or(|h| now.since(h.at) > self.period() * SILENT_PERIODS);
+        is_silent || (heard.is_some_and(|h| h.is_newer) && self.is_lagging())
     }
 
     async fn ask(&self, link: &mut Link, told: &mut Told) -> Result<()> {
         let own = UsageWire::of(&self.entry, self.snapshots.freshness(), told);
         let theirs: UsageWire = link.call(USAGE_PATH, encode(&own)?).await?;
-        if self.hear(theirs) {
+        let name = theirs.entry.clone();
+        self.hear(theirs);
+        let is_newer = self.heard().get(&name).is_some_and(|h| h.is_newer);
+        if is_newer && self.is_lagging() {
+            if let Some(lag) = &mut *self.lag() {
+                lag.asked_at = Some(self.entry.cx().timers.now());
+            }
             let snapshot: Snapshot = link.call(SNAPSHOT_PATH, Bytes::new()).await?;
             self.snapshots.adopt(snapshot)?;
         }
         Ok(())
     }
 
+    fn lag(&self) -> MutexGuard<'_, Option<Lag>> {
+        self.lag
+            .lock()
+            .expect("no code panics while it holds the lag")
+    }
+
     fn heard(&self) -> MutexGuard<'_, HashMap<EntryName, Heard>> {
         self.heard
             .lock()
--- a/crates/direct/src/lane.rs
+++ b/crates/direct/src/lane.rs
@@ -6,6 +6,7 @@
 use eelgrassramp::Monotonic;
 
 use crate::endpoint::Endpoint;
+use crate::endpoint::EndpointKey;
 use crate::endpoint::EndpointState;
 use crate::endpoint::ReportedLoad;
 
@@ -59,6 +60,7 @@
 #[derive(Debug)]
 pub struct Lane {
     endpoint: Arc<Endpoint>,
+    key: EndpointKey,
     in_flight: u32,
     /// When the last request was sent.
     sent_at: Monotonic,
@@ -76,8 +78,9 @@
 impl Lane {
     /// Creates the lane of an endpoint of which nothing is known yet.
     #[must_use]
-    pub const fn new(endpoint: Arc<Endpoint>, slowness: f64) -> Self {
+    pub fn new(endpoint: Arc<Endpoint>, slowness: f64) -> Self {
         Self {
+            key: EndpointKey::from(&endpoint.name),
             endpoint,
             in_flight: 0,
             sent_at: Monotonic::ZERO,
@@ -92,6 +95,12 @@
         }
     }
 
+    /// Returns the endpoint's short identity.
+    #[must_use]
+    pub const fn key(&self) -> EndpointKey {
+        self.key
+    }
+
     /// Returns the endpoint.
     #[must_use]
     pub const fn endpoint(&self) -> &Arc<Endpoint> {
--- a/crates/direct/src/quota.rs
+++ b/crates/direct/src/quota.rs
@@ -316,7 +316,9 @@
     /// Returns how many other entries may use quotas without being heard.
     #[must_use]
     pub fn silent_entries(&self, now: Monotonic) -> u32 {
-        let silent = self.peers.values().filter(|peer| peer.is_silent(now));
+        let entries = self.entries();
+        let silent = self.peers.values();
+        let silent = silent.filter(|peer| peer.is_silent(now, entries));
         u32::try_from(silent.count()).unwrap_or(u32::MAX)
     }
 
@@ -340,8 +342,9 @@
 
     /// Takes out of each bucket what entries may have used since they were last heard.
     fn keep_for_silent(&mut self, now: Monotonic) {
+        let entries = self.entries();
         for peer in self.peers.values_mut() {
-            if peer.is_kept_for || !peer.is_silent(now) {
+            if peer.is_kept_for || !peer.is_silent(now, entries) {
                 continue;
             }
             peer.is_kept_for = true;
@@ -359,7 +362,9 @@
     /// Returns the part of an account's rate that is kept for entries that cannot be heard.
     fn silent_part(&self, now: Monotonic, account: &AccountName) -> f64 {
         let equal = 1.0 / f64::from(self.entries());
-        let silent = self.peers.values().filter(|peer| peer.is_silent(now));
+        let entries = self.entries();
+        let silent = self.peers.values();
+        let silent = silent.filter(|peer| peer.is_silent(now, entries));
         let parts: f64 = silent.map(|peer| peer.part(account, equal)).sum();
         parts.min(1.0 - EQUAL_SHARE * equal)
     }
