--- /dev/null
+++ b/crates/direct/tests/overload.rs
@@ -0,0 +1,290 @@
+//! Loads beyond the capacity of a pool, played through the dispatcher with what callers get.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassramp::DomainName;
+use eelgrassramp::EndpointName;
+use eelgrassramp::Monotonic;
+use eelgrassramp::PoolName;
+use eelgrassramp::RouteName;
+use eelgrassramp::VersionName;
+use eelgrassramp_direct::dispatcher::Dispatcher;
+use eelgrassramp_direct::dispatcher::Grant;
+use eelgrassramp_direct::dispatcher::Placed;
+use eelgrassramp_direct::dispatcher::Ticket;
+use eelgrassramp_direct::dispatcher::Wake;
+use eelgrassramp_direct::endpoint::Endpoint;
+use eelgrassramp_direct::endpoint::EndpointState;
+use eelgrassramp_direct::lane::Outcome;
+use eelgrassramp_direct::line::Class;
+use eelgrassramp_direct::line::Urgency;
+use googletest::prelude::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const ENDPOINTS: u32 = 4;
+
+const SLOTS: u32 = 4;
+
+/// Time that an endpoint takes for a request.
+const WORK_MS: u64 = 100;
+
+/// Requests a second that the pool can run.
+const CAPACITY: f64 = (ENDPOINTS * SLOTS) as f64 * 1_000.0 / WORK_MS as f64;
+
+/// Time from arrival to answer in which an answer is on time.
+const OBJECTIVE_MS: u64 = 500;
+
+/// Time that a caller waits at most.
+const PATIENCE_MS: u64 = 3_000;
+
+/// Parts of the requests by rank.
+const MIX: [f64; 3] = [0.3, 0.4, 0.3];
+
+/// Length of a run.
+const RUN_MS: u64 = 20_000;
+
+/// What callers of one rank got.
+#[derive(Debug, Clone, Copy, Default)]
+struct Got {
+    asked: u64,
+    on_time: u64,
+    late: u64,
+    refused: u64,
+    /// Longest time after which a refusal came.
+    held_ms: u64,
+}
+
+impl Got {
+    fn share(&self) -> f64 {
+        (self.on_time + self.late) as f64 / self.asked.max(1) as f64
+    }
+}
+
+struct Load {
+    rng: StdRng,
+    dispatcher: Dispatcher,
+    asked: HashMap<u64, (u64, usize)>,
+    ends: BTreeMap<(u64, u64), Grant>,
+    by_rank: [Got; MIX.len()],
+    /// Answers on time by the second of their request's arrival, and requests.
+    by_second: Vec<(u64, u64)>,
+}
+
+impl Load {
+    fn new(seed: u64) -> Self {
+        let mut dispatcher = Dispatcher::new("entry-1", "a");
+        let endpoints: Vec<_> = (0..ENDPOINTS).map(endpoint).collect();
+        dispatcher.set_endpoints(&endpoints);
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+            dispatcher,
+            asked: HashMap::new(),
+            ends: BTreeMap::new(),
+            by_rank: [Got::default(); MIX.len()],
+            by_second: vec![(0, 0); RUN_MS as usize / 1_000],
+        }
+    }
+
+    /// Plays requests at `load` times the capacity, which may change with time.
+    fn play(&mut self, load: impl Fn(u64) -> f64) {
+        let mut seq = 0;
+        for ms in 0..RUN_MS + PATIENCE_MS {
+            self.end_due(ms);
+            let per_ms = load(ms) * CAPACITY / 1_000.0;
+            if ms < RUN_MS && self.rng.random_bool(per_ms.min(1.0)) {
+                seq += 1;
+                self.ask(ms, seq);
+            }
+            if ms.is_multiple_of(50) {
+                self.dispatcher.tick(at(ms));
+                self.pump(ms);
+            }
+        }
+    }
+
+    fn ask(&mut self, ms: u64, seq: u64) {
+        let draw: f64 = self.rng.random_range(0.0..1.0);
+        let rank = if draw < MIX[0] {
+            0
+        } else if draw < MIX[0] + MIX[1] {
+            1
+        } else {
+            2
+        };
+        self.asked.insert(seq, (ms, rank));
+        self.by_rank[rank].asked += 1;
+        self.by_second[ms as usize / 1_000].1 += 1;
+        let ticket = ticket(seq, rank, ms, self.rng.random_range(0.0..1.0));
+        match self.dispatcher.enter(at(ms), ticket) {
+            Placed::Granted(grant) => self.begin(ms, grant),
+            Placed::Refused(_) => self.refuse(ms, seq),
+            Placed::Waits => {}
+        }
+    }
+
+    fn begin(&mut self, ms: u64, grant: Grant) {
+        self.ends.insert((ms + WORK_MS, grant.seq), grant);
+    }
+
+    fn refuse(&mut self, ms: u64, seq: u64) {
+        let (asked, rank) = self.asked[&seq];
+        let got = &mut self.by_rank[rank];
+        got.refused += 1;
+        got.held_ms = got.held_ms.max(ms - asked);
+    }
+
+    fn end_due(&mut self, ms: u64) {
+        while let Some(entry) = self.ends.first_entry()
+            && entry.key().0 <= ms
+        {
+            let grant = entry.remove();
+            let served = Outcome::Served { slowness: 1.0 };
+            self.dispatcher
+                .ended(at(ms), &grant.endpoint, &grant.route, served);
+            self.count(ms, grant.seq);
+            self.pump(ms);
+        }
+    }
+
+    fn count(&mut self, ms: u64, seq: u64) {
+        let (asked, rank) = self.asked[&seq];
+        if ms - asked <= OBJECTIVE_MS {
+            self.by_rank[rank].on_time += 1;
+            self.by_second[asked as usize / 1_000].0 += 1;
+        } else {
+            self.by_rank[rank].late += 1;
+        }
+    }
+
+    fn pump(&mut self, ms: u64) {
+        loop {
+            let wakes = self.dispatcher.pump(at(ms));
+            if wakes.is_empty() {
+                return;
+            }
+            for wake in wakes {
+                match wake {
+                    Wake::Granted(_, grant) => self.begin(ms, grant),
+                    Wake::Expired(seq, _) => self.refuse(ms, seq),
+                }
+            }
+        }
+    }
+
+    fn on_time(&self) -> u64 {
+        self.by_rank.iter().map(|got| got.on_time).sum()
+    }
+}
+
+fn at(ms: u64) -> Monotonic {
+    Monotonic::from_millis(ms)
+}
+
+fn endpoint(n: u32) -> Arc<Endpoint> {
+    Arc::new(Endpoint {
+        name: EndpointName::new(format!("i-{n}")),
+        started_ms: Some(1),
+        pool: PoolName::from("drafts"),
+        address: "10.0.0.1:80".parse().expect("the address is valid"),
+        domain: DomainName::from("a"),
+        version: VersionName::from("v1"),
+        slots: SLOTS,
+        state: EndpointState::Ready,
+    })
+}
+
+fn ticket(seq: u64, rank: usize, ms: u64, draw: f64) -> Ticket {
+    let arrived = at(ms);
+    Ticket {
+        seq,
+        pool: PoolName::from("drafts"),
+        class: Class {
+            urgency: Urgency::new(None, u32::try_from(rank).unwrap_or(0)),
+            route: RouteName::new(format!("route-{rank}")),
+        },
+        arrived,
+        start_by: arrived + Duration::from_millis(OBJECTIVE_MS - WORK_MS),
+        give_up_at: arrived + Duration::from_millis(PATIENCE_MS * 3 / 10),
+        tried: Vec::new(),
+        draw,
+    }
+}
+
+fn played(seed: u64, load: f64) -> Load {
+    let mut run = Load::new(seed);
+    run.play(|_| load);
+    run
+}
+
+#[gtest]
+fn twice_the_load_gets_no_less_answers_on_time() {
+    for seed in 0..5 {
+        let at_capacity = played(seed, 1.0).on_time();
+        let at_twice = played(seed, 2.0).on_time();
+
+        expect_that!(at_twice, ge(at_capacity), "seed {seed}");
+    }
+}
+
+#[gtest]
+fn under_overload_the_urgent_are_served_and_nobody_starves() {
+    for seed in 0..5 {
+        let run = played(seed, 2.0);
+
+        let [urgent, middle, last] = run.by_rank;
+        let served: u64 = run.by_rank.iter().map(|got| got.on_time + got.late).sum();
+        let asked: u64 = run.by_rank.iter().map(|got| got.asked).sum();
+        let all = served as f64 / asked as f64;
+        expect_that!(urgent.share(), ge(0.95), "seed {seed}");
+        expect_that!(urgent.on_time as f64, ge(0.95 * urgent.asked as f64));
+        expect_that!(middle.share(), ge(last.share() - 0.05));
+        expect_that!(last.share(), ge(0.25 * all));
+    }
+}
+
+#[gtest]
+fn who_is_refused_is_told_early() {
+    for seed in 0..5 {
+        let run = played(seed, 2.0);
+
+        for got in run.by_rank {
+            expect_that!(got.held_ms, le(PATIENCE_MS * 3 / 10 + 50), "seed {seed}");
+        }
+        let held_long = run.by_rank[2].held_ms;
+        expect_that!(held_long, lt(PATIENCE_MS / 2), "seed {seed}");
+    }
+}
+
+#[gtest]
+fn service_is_back_within_seconds_of_a_burst() {
+    for seed in 0..5 {
+        let mut run = Load::new(seed);
+        run.play(|ms| {
+            if (5_000..10_000).contains(&ms) {
+                3.0
+            } else {
+                0.6
+            }
+        });
+
+        let after = &run.by_second[12..];
+        let on_time: u64 = after.iter().map(|(on_time, _)| on_time).sum();
+        let asked: u64 = after.iter().map(|(_, asked)| asked).sum();
+        expect_that!(on_time as f64, ge(0.98 * asked as f64), "seed {seed}");
+    }
+}
+
+#[gtest]
+fn nobody_is_refused_while_places_are_free() {
+    for seed in 0..5 {
+        let run = played(seed, 0.6);
+
+        let refused: u64 = run.by_rank.iter().map(|got| got.refused).sum();
+        expect_that!(refused, eq(0), "seed {seed}");
+    }
+}
