--- a/crates/direct/tests/quota_fleet.rs
+++ b/crates/direct/tests/quota_fleet.rs
@@ -1,6 +1,7 @@
 //! Quotas over many entries that are cut off, frozen, killed and restarted while one account
 //! asks for several times its quota.
 
+use std::collections::HashMap;
 use std::ops::Range;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use eelgrassramp::Monotonic;
 use eelgrassramp_direct::deployment::Quota;
 use eelgrassramp_direct::line::Urgency;
+use eelgrassramp_direct::quota::AccountUse;
 use eelgrassramp_direct::quota::Demand;
 use eelgrassramp_direct::quota::Quotas;
 use eelgrassramp_direct::quota::Tolerance;
@@ -91,6 +93,8 @@
     loads: Vec<Load>,
     hot_from_ms: u64,
     admitted: Vec<(u64, f64)>,
+    /// What each entry told each other one last, while nothing was lost between them.
+    told: HashMap<(usize, usize), Vec<AccountUse>>,
 }
 
 impl Fleet {
@@ -116,6 +120,7 @@
             events,
             loads,
             admitted: Vec::new(),
+            told: HashMap::new(),
         };
         (0..size).for_each(|entry| fleet.start(0, entry));
         fleet
@@ -175,7 +180,7 @@
         event.map(|event| event.trouble)
     }
 
-    /// Each pair tells each other, unless one of them cannot be reached.
+    /// Each pair tells each other what has changed, unless one of them cannot be reached.
     fn exchange(&mut self, ms: u64) {
         let now = Monotonic::from_millis(ms);
         let usage: Vec<_> = self
@@ -185,14 +190,29 @@
             .collect();
         let size = self.entries.len();
         let is_sound: Vec<bool> = (0..size).map(|e| self.suffers(ms, e).is_none()).collect();
-        for to in (0..size).filter(|to| is_sound[*to]) {
-            for from in (0..size).filter(|from| *from != to && is_sound[*from]) {
-                let incarnation = self.incarnations[from];
-                self.entries[to].hear(now, &name(from), incarnation, &usage[from]);
+        for to in 0..size {
+            for from in (0..size).filter(|from| *from != to) {
+                if is_sound[to] && is_sound[from] {
+                    let changed = self.changed(from, to, &usage[from]);
+                    let incarnation = self.incarnations[from];
+                    self.entries[to].hear(now, &name(from), incarnation, &changed);
+                } else {
+                    self.told.remove(&(from, to));
+                }
             }
         }
     }
 
+    fn changed(&mut self, from: usize, to: usize, usage: &[AccountUse]) -> Vec<AccountUse> {
+        let told = self.told.insert((from, to), usage.to_vec());
+        let told = told.unwrap_or_default();
+        let is_told = |now: &AccountUse| {
+            let mut same = told.iter().filter(|t| t.account == now.account);
+            same.any(|t| t.admitted.to_bits() == now.admitted.to_bits())
+        };
+        usage.iter().filter(|now| !is_told(now)).cloned().collect()
+    }
+
     fn ask(&mut self, ms: u64, entry: usize) {
         let load = self.loads[entry];
         let part = if ms < self.hot_from_ms {
