A process that knows nothing is given tables by the others; smaller files

Cause: an entry that starts while the store is away knows no other entry, so it cannot ask for their tables and endpoints and stays unready until the store is back. The others know it and hear that it holds nothing.

exchange.rs, entry.rs and forward.rs give up their answering side, lag, places in the line and kinds of failures to files of their own; no change in what they do.

--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -1,6 +1,7 @@
 //! The state that all requests of one entry share.
 
 mod others;
+mod place;
 mod state;
 
 use std::collections::HashMap;
@@ -24,7 +25,6 @@
 use rand::Rng;
 use slog::info;
 use tokio::sync::Notify;
-use tokio::sync::oneshot;
 
 use self::others::Others;
 use self::state::State;
@@ -32,10 +32,7 @@
 use crate::deployment::Account;
 use crate::deployment::Deployment;
 use crate::dispatcher::Dispatcher;
-use crate::dispatcher::Grant;
-use crate::dispatcher::Placed;
 use crate::dispatcher::RolloutUse;
-use crate::dispatcher::Ticket;
 use crate::endpoint::Endpoint;
 use crate::endpoint::EndpointKey;
 use crate::endpoint::ReportedLoad;
@@ -427,43 +424,6 @@
         self.lock().quotas.give_back(account, units);
     }
 
-    /// Waits for an endpoint for a request.
-    pub(crate) async fn acquire(self: &Arc<Self>, ticket: Ticket) -> Result<Grant, Refusal> {
-        let now = self.cx.timers.now();
-        let give_up_at = ticket.give_up_at;
-        let (tx, rx) = oneshot::channel();
-        let _waits = {
-            let mut state = self.lock();
-            match state.dispatcher.enter(now, ticket.clone()) {
-                Placed::Granted(grant) => return Ok(grant),
-                Placed::Refused(wait) => return Err(overloaded(&ticket.pool, wait)),
-                Placed::Waits => state.waiters.insert(ticket.seq, tx),
-            }
-        };
-        let pool = ticket.pool.clone();
-        let mut place = Place {
-            entry: self,
-            ticket,
-            rx,
-            is_settled: false,
-        };
-        let granted = tokio::select! {
-            biased;
-            granted = &mut place.rx => granted,
-            () = self.cx.timers.until(give_up_at) => {
-                // A grant that crosses the timeout is used.
-                self.pump();
-                (&mut place.rx).await
-            }
-        };
-        place.is_settled = true;
-        match granted {
-            Ok(Ok(grant)) => Ok(grant),
-            Ok(Err(wait)) => Err(overloaded(&pool, wait)),
-            Err(_) => Err(overloaded(&pool, Duration::from_secs(1))),
-        }
-    }
-
     pub(crate) fn answered(&self, endpoint: &Endpoint, load: Option<ReportedLoad>) {
         let now = self.cx.timers.now();
         self.lock().dispatcher.answered(now, endpoint, load);
@@ -522,11 +482,6 @@
     }
 }
 
-fn overloaded(pool: &PoolName, wait: Duration) -> Refusal {
-    let detail = format!("no endpoint of pool {pool:?} was free in time");
-    Refusal::later(Kind::Overloaded, detail, wait)
-}
-
 /// What one entry tells the others.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Usage {
@@ -540,32 +495,6 @@
     pub rollouts: Vec<RolloutUse>,
 }
 
-/// A place in the line; dropping it leaves the line.
-struct Place<'a> {
-    entry: &'a Arc<Entry>,
-    ticket: Ticket,
-    rx: oneshot::Receiver<Result<Grant, Duration>>,
-    is_settled: bool,
-}
-
-impl Drop for Place<'_> {
-    fn drop(&mut self) {
-        if self.is_settled {
-            return;
-        }
-        let mut state = self.entry.lock();
-        state.dispatcher.leave(&self.ticket);
-        state.waiters.remove(&self.ticket.seq);
-        drop(state);
-        // A grant may have been handed over that was not received any more.
-        if let Ok(Ok(grant)) = self.rx.try_recv() {
-            let outcome = Outcome::Neutral;
-            let route = &grant.route;
-            self.entry.ended(&grant.endpoint, route, outcome);
-        }
-    }
-}
-
 impl fmt::Debug for Entry {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Entry")
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -4,12 +4,13 @@
 //! Tables and endpoints are passed on only when one side holds a newer version, so that an entry
 //! that the store turns away goes on with what the others know.
 
+mod answering;
+mod lag;
 mod link;
 mod message;
 mod told;
 
 use std::collections::HashMap;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -19,35 +20,20 @@
 use bytes::Bytes;
 use eelgrassramp::EntryName;
 use eelgrassramp::Error;
-use eelgrassramp::Kind;
 use eelgrassramp::Monotonic;
 use eelgrassramp::Result;
-use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::Limited;
-use hyper::Request;
-use hyper::Response;
-use hyper::body::Incoming;
-use hyper::server::conn::http1 as server;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_bytes::ByteBuf;
-use slog::debug;
 use slog::info;
-use slog::warn;
-use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use self::lag::Lag;
 use self::link::Link;
+use self::message::Taken;
 use self::message::UsageWire;
-use self::message::decode;
 use self::message::encode;
 use self::told::Told;
-use crate::connections;
 use crate::entry::Entry;
 
 /// Shortest time between two questions to the same entry.
@@ -66,12 +52,8 @@
 /// Longest pause between questions to an entry that does not answer.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
 
-/// Time for which this entry lags behind another one before it asks for its tables and endpoints:
-/// most of the time it hears of them itself.
-const LAG: Duration = Duration::from_millis(600);
-
-/// Time for which such a question may be under way.
-const CATCH_UP_PERIOD: Duration = Duration::from_millis(500);
+/// Entries that give tables and endpoints in one period to one that holds none.
+const GIVERS: f64 = 3.0;
 
 /// Time for which an entry that is no longer announced is still asked, in case it is cut off
 /// from the platform alone.
@@ -86,6 +68,9 @@
 /// Path on which tables and endpoints are read.
 const SNAPSHOT_PATH: &str = "/v1/snapshot";
 
+/// Path on which tables and endpoints are given.
+const GIVE_PATH: &str = "/v1/give";
+
 /// Returns the time between two questions to the same one of `entries` entries.
 pub(crate) fn period(entries: u32) -> Duration {
     MIN_PERIOD * entries.div_ceil(ENTRIES_AT_MIN_PERIOD).max(1)
@@ -136,26 +121,7 @@
     snapshots: Arc<dyn Snapshots>,
     peers: Mutex<HashMap<EntryName, Known>>,
     heard: Mutex<HashMap<EntryName, Heard>>,
-    lag: Mutex<Option<Lag>>,
-}
-
-/// How this entry lags behind others.
-#[derive(Debug, Clone, Copy)]
-struct Lag {
-    /// What it held when it first lagged.
-    own: Freshness,
-    since: Monotonic,
-    asked_at: Option<Monotonic>,
-}
-
-impl Lag {
-    /// Tells whether another entry is to be asked.
-    fn is_due(&self, now: Monotonic) -> bool {
-        let is_asked = self
-            .asked_at
-            .is_some_and(|at| now.since(at) < CATCH_UP_PERIOD);
-        now.since(self.since) >= LAG && !is_asked
-    }
+    lag: Lag,
 }
 
 /// Another entry that is asked.
@@ -167,11 +133,13 @@
     ended_at: Option<Monotonic>,
 }
 
-/// When another entry was heard, and whether it holds newer tables or endpoints.
+/// When another entry was heard, and what it holds against this one.
 #[derive(Debug, Clone, Copy)]
 struct Heard {
     at: Monotonic,
     is_newer: bool,
+    /// Whether it holds nothing yet.
+    is_empty: bool,
 }
 
 impl Exchange {
@@ -183,7 +151,7 @@
             snapshots,
             peers: Mutex::default(),
             heard: Mutex::default(),
-            lag: Mutex::default(),
+            lag: Lag::default(),
         })
     }
 
@@ -234,86 +202,22 @@
         is_over
     }
 
-    /// Answers the questions of other entries until the process ends.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Kind::InvalidSettings`] when `addr` cannot be listened on.
-    pub async fn serve(self: Arc<Self>, addr: SocketAddr) -> Result<()> {
-        let listener = TcpListener::bind(addr).await.map_err(|e| {
-            Error::with_source(Kind::InvalidSettings, format!("listen on {addr}"), e)
-        })?;
-        loop {
-            let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
-                Err(e) => {
-                    warn!(self.entry.cx().log, "accept failed"; "error" => %e);
-                    self.entry.cx().timers.after(MIN_PERIOD).await;
-                    continue;
-                }
-            };
-            tokio::spawn(Arc::clone(&self).serve_connection(stream));
-        }
-    }
-
-    async fn serve_connection(self: Arc<Self>, stream: TcpStream) {
-        if let Err(e) = connections::tune(&stream) {
-            debug!(self.entry.cx().log, "socket options failed"; "error" => %e);
-        }
-        let told = Mutex::new(Told::default());
-        let service = service_fn(|req| {
-            let exchange = Arc::clone(&self);
-            let told = &told;
-            async move { Ok::<_, Infallible>(exchange.answer(req, told).await) }
-        });
-        // The asking side opens a new connection when this one ends.
-        let _ended = server::Builder::new()
-            .auto_date_header(false)
-            .serve_connection(TokioIo::new(stream), service)
-            .await;
-    }
-
-    async fn answer(&self, req: Request<Incoming>, told: &Mutex<Told>) -> Response<Full<Bytes>> {
-        let path = req.uri().path().to_owned();
-        let body = Limited::new(req.into_body(), MAX_MESSAGE_BYTES).collect();
-        let Ok(body) = body.await else {
-            return status_only(StatusCode::PAYLOAD_TOO_LARGE);
-        };
-        let answer = match path.as_str() {
-            USAGE_PATH => self.answer_usage(&body.to_bytes(), told),
-            SNAPSHOT_PATH => self.snapshots.export().and_then(|s| encode(&s)),
-            _ => return status_only(StatusCode::NOT_FOUND),
-        };
-        match answer {
-            Ok(body) => Response::new(Full::new(body)),
-            Err(e) => {
-                warn!(self.entry.cx().log, "exchange failed"; "path" => path, "cause" => %e);
-                status_only(StatusCode::BAD_REQUEST)
-            }
-        }
-    }
-
-    fn answer_usage(&self, body: &[u8], told: &Mutex<Told>) -> Result<Bytes> {
-        let theirs: UsageWire = decode(body)?;
-        self.hear(theirs);
-        let mut told = told
-            .lock()
-            .expect("no code panics while it holds what was told");
-        let freshness = self.snapshots.freshness();
-        encode(&UsageWire::of(&self.entry, freshness, &mut told))
-    }
-
     /// Takes in what another entry tells.
     fn hear(&self, theirs: UsageWire) {
         let own = self.snapshots.freshness();
         let is_newer = theirs.tables > own.tables || theirs.endpoints > own.endpoints;
+        let at = self.entry.cx().timers.now();
         if is_newer {
-            self.note_lag(own);
+            self.lag.note(at, own);
         }
         let entry = theirs.entry.clone();
         let incarnation = theirs.incarnation;
-        let at = self.entry.cx().timers.now();
-        self.heard().insert(entry.clone(), Heard { at, is_newer });
+        let heard = Heard {
+            at,
+            is_newer,
+            is_empty: theirs.tables == 0,
+        };
+        self.heard().insert(entry.clone(), heard);
         self.entry.hear(&entry, incarnation, theirs.into());
     }
 
@@ -322,24 +226,10 @@
         period(peers.saturating_add(1))
     }
 
-    fn note_lag(&self, own: Freshness) {
-        let since = self.entry.cx().timers.now();
-        let mut lag = self.lag();
-        if lag.is_none_or(|lag| lag.own != own) {
-            *lag = Some(Lag {
-                own,
-                since,
-                asked_at: None,
-            });
-        }
-    }
-
     /// Tells whether an entry that holds something newer is to be asked for it.
     fn is_lagging(&self) -> bool {
         let now = self.entry.cx().timers.now();
-        let own = self.snapshots.freshness();
-        let lag = self.lag();
-        lag.is_some_and(|lag| lag.own == own && lag.is_due(now))
+        self.lag.is_due(now, self.snapshots.freshness())
     }
 
     async fn ask_regularly(self: Arc<Self>, name: EntryName, addr: SocketAddr) {
@@ -399,21 +289,29 @@
         let theirs: UsageWire = link.call(USAGE_PATH, encode(&own)?).await?;
         let name = theirs.entry.clone();
         self.hear(theirs);
-        let is_newer = self.heard().get(&name).is_some_and(|h| h.is_newer);
-        if is_newer && self.is_lagging() {
-            if let Some(lag) = &mut *self.lag() {
-                lag.asked_at = Some(self.entry.cx().timers.now());
-            }
+        let Some(heard) = self.heard().get(&name).copied() else {
+            return Ok(());
+        };
+        if heard.is_newer && self.is_lagging() {
+            self.lag.note_asked(self.entry.cx().timers.now());
             let snapshot: Snapshot = link.call(SNAPSHOT_PATH, Bytes::new()).await?;
             self.snapshots.adopt(snapshot)?;
         }
+        if heard.is_empty && self.is_to_give() {
+            let snapshot = encode(&self.snapshots.export()?)?;
+            let _taken: Taken = link.call(GIVE_PATH, snapshot).await?;
+        }
         Ok(())
     }
 
-    fn lag(&self) -> MutexGuard<'_, Option<Lag>> {
-        self.lag
-            .lock()
-            .expect("no code panics while it holds the lag")
+    /// Tells whether this entry gives what it holds to one that holds nothing.
+    ///
+    /// A process that started while the platform's store is away does not even know whom to ask.
+    /// All others see that at once, and a few of them suffice.
+    fn is_to_give(&self) -> bool {
+        let is_known = self.snapshots.freshness().tables > 0;
+        let draw = f64::from(self.entry.draw()) / f64::from(u32::MAX);
+        is_known && draw * f64::from(self.entry.entries()) < GIVERS
     }
 
     fn heard(&self) -> MutexGuard<'_, HashMap<EntryName, Heard>> {
@@ -449,9 +347,3 @@
     }
     false
 }
-
-fn status_only(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut resp = Response::new(Full::new(Bytes::new()));
-    *resp.status_mut() = status;
-    resp
-}
--- a/crates/direct/src/exchange/message.rs
+++ b/crates/direct/src/exchange/message.rs
@@ -37,6 +37,11 @@
     rollouts: Vec<RolloutUseWire>,
 }
 
+/// Says that what was given was taken.
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct Taken;
+
 #[derive(Debug, Clone)]
 #[derive(Serialize, Deserialize)]
 struct AccountUseWire {
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -1,13 +1,13 @@
 //! Takes one request from a caller to an endpoint and its answer back.
 
+mod failure;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use eelgrassramp::AccountName;
 use eelgrassramp::EndpointName;
-use eelgrassramp::Error;
-use eelgrassramp::Kind;
 use eelgrassramp::Monotonic;
 use eelgrassramp::PoolName;
 use http::HeaderMap;
@@ -21,6 +21,7 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 
+use self::failure::Failure;
 use crate::connections::Connection;
 use crate::deployment::Route;
 use crate::deployment::RouteKind;
@@ -31,7 +32,6 @@
 use crate::events::EventSplitter;
 use crate::flight::Flight;
 use crate::journal::Story;
-use crate::lane::Outcome;
 use crate::line::Class;
 use crate::line::Urgency;
 use crate::protocol::AnswerHead;
@@ -82,16 +82,6 @@
     pub(crate) story: Story,
 }
 
-/// How one send failed.
-struct Failure {
-    error: Error,
-    outcome: Outcome,
-    /// Whether it is proved that the request did not run.
-    is_unrun: bool,
-    /// Whether bytes reached the endpoint, so that the send counts as an arrival.
-    has_arrived: bool,
-}
-
 impl Forwarding {
     /// Returns when a request that arrived at `arrived` ends at the latest.
     pub(crate) fn end_of(arrived: Monotonic, call: &Call, route: &Route) -> Monotonic {
@@ -210,25 +200,20 @@
     ) -> Result<(Response<Incoming>, AnswerHead, Connection), Failure> {
         let endpoint = &*grant.endpoint;
         let connection = self.entry.connections().get(endpoint).await;
-        let mut connection = connection.map_err(|e| unreachable(endpoint, e))?;
+        let mut connection = connection.map_err(|e| Failure::unreachable(endpoint, e))?;
         let time_left = self.time_left();
         if time_left.is_zero() {
-            return Err(Failure {
-                error: Error::new(Kind::DeadlineExpired, "no time is left to send the request"),
-                outcome: Outcome::Neutral,
-                is_unrun: true,
-                has_arrived: false,
-            });
+            return Err(Failure::out_of_time());
         }
         let req = self.request(endpoint, time_left);
         let sent = connection.sender().try_send_request(req);
         let limit = self.answer_limit(time_left);
         let sent = self.entry.cx().timers.limit(limit, sent).await;
         let resp = match sent {
-            None => return Err(silent(endpoint, limit)),
+            None => return Err(Failure::silent(endpoint, limit)),
             Some(Err(mut e)) => {
                 let is_unrun = e.take_message().is_some();
-                return Err(broken(endpoint, e.into_error(), is_unrun));
+                return Err(Failure::broken(endpoint, e.into_error(), is_unrun));
             }
             Some(Ok(resp)) => resp,
         };
@@ -244,7 +229,6 @@
     ) -> Result<(Response<Incoming>, AnswerHead, Connection), Failure> {
         let (parts, body) = resp.into_parts();
         let head = self.entry.endpoint_protocol().decode(&parts, &self.call);
-        let name = &endpoint.name;
         let failure = match head.verdict {
             Verdict::Genuine => {
                 flight.answered(head.load);
@@ -252,41 +236,13 @@
                 if !is_failure || !self.is_worth_repeating() {
                     return Ok((Response::from_parts(parts, body), head, connection));
                 }
-                Failure {
-                    error: Error::new(
-                        Kind::OutcomeUnknown,
-                        format!("endpoint {name} answered with status {}", parts.status),
-                    ),
-                    outcome: Outcome::Failed,
-                    is_unrun: false,
-                    has_arrived: true,
-                }
+                Failure::failed(endpoint, parts.status)
             }
             Verdict::NotRun { misdirected } => {
                 flight.answered(head.load);
-                Failure {
-                    error: Error::new(
-                        Kind::Overloaded,
-                        format!("endpoint {name} refused with status {}", parts.status),
-                    ),
-                    outcome: if misdirected {
-                        Outcome::Unreachable
-                    } else {
-                        Outcome::Refused
-                    },
-                    is_unrun: true,
-                    has_arrived: true,
-                }
+                Failure::refused(endpoint, parts.status, misdirected)
             }
-            Verdict::Foreign => Failure {
-                error: Error::new(
-                    Kind::OutcomeUnknown,
-                    format!("endpoint {name} sent an answer that belongs to no request"),
-                ),
-                outcome: Outcome::Lost,
-                is_unrun: false,
-                has_arrived: true,
-            },
+            Verdict::Foreign => Failure::foreign(endpoint),
         };
         Err(failure)
     }
@@ -374,42 +330,3 @@
 fn content_length(headers: &HeaderMap) -> Option<u64> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
-
-fn unreachable(endpoint: &Endpoint, e: std::io::Error) -> Failure {
-    let detail = format!("endpoint {} at {}", endpoint.name, endpoint.address);
-    Failure {
-        error: Error::with_source(Kind::ConnectFailed, detail, e),
-        outcome: Outcome::Unreachable,
-        is_unrun: true,
-        has_arrived: false,
-    }
-}
-
-fn silent(endpoint: &Endpoint, limit: Duration) -> Failure {
-    let detail = format!(
-        "endpoint {} gave no answer in {} ms",
-        endpoint.name,
-        limit.as_millis()
-    );
-    Failure {
-        error: Error::new(Kind::DeadlineExceeded, detail),
-        outcome: Outcome::Silent,
-        is_unrun: false,
-        has_arrived: true,
-    }
-}
-
-fn broken(endpoint: &Endpoint, e: hyper::Error, is_unrun: bool) -> Failure {
-    let detail = format!("endpoint {}", endpoint.name);
-    let kind = if is_unrun {
-        Kind::ConnectFailed
-    } else {
-        Kind::OutcomeUnknown
-    };
-    Failure {
-        error: Error::with_source(kind, detail, e),
-        outcome: Outcome::Lost,
-        is_unrun,
-        has_arrived: !is_unrun,
-    }
-}
