--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -104,14 +104,14 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Kind::Internal`] when it cannot be encoded.
+    /// Returns [`Kind::Internal`](eelgrassramp::Kind::Internal) when it cannot be encoded.
     fn export(&self) -> Result<Snapshot>;
 
     /// Takes in another entry's state where that is newer.
     ///
     /// # Errors
     ///
-    /// Returns [`Kind::Malformed`] when it cannot be read.
+    /// Returns [`Kind::Malformed`](eelgrassramp::Kind::Malformed) when it cannot be read.
     fn adopt(&self, snapshot: Snapshot) -> Result<()>;
 }
 
