Endpoints that leave or refuse with a time, floods, pauses and panics

Cause: an answer that told that its endpoint leaves, and a refusal with a time, were read by nobody: work went on until the registry told, and refusing endpoints were asked again at once. Bytes that are no answer were bounded only by the route's time (102 MB of interim heads or of chunk sizes were read from one connection in 3.3 s, during which the process did little else), and a stream without an event end passed in pieces of 256 KB. After a pause of the process an order went out on a connection that had gone silent (504). Numbers of another entry overflowed a sum, and a panic with the lock held left a process that answers nothing.

Change: restrictions by incarnation, which survive changes of the registry, are told to the other entries and end with a restart; callers are refused at once with the time at which the first endpoint takes work again when that is after the end of their patience. Read buffers of 64 KiB, 256 KiB and 8 bytes a byte of body for all that is no body, 64 KiB an event; stray bytes on idle connections count against their endpoint. A process notices on the boot-time clock that it stood still for a second, closes its kept connections and hears the others before it decides about moves. Locks outlive panics, tasks that the process needs start again.

--- a/crates/direct/src/connections.rs
+++ b/crates/direct/src/connections.rs
@@ -1,5 +1,7 @@
 //! Connections to endpoints: opened on demand, kept while they are known to be clean.
 
+mod allowance;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,7 +11,9 @@
 
 use bytes::Bytes;
 use eelgrassramp::Context;
+use eelgrassramp::EndpointName;
 use eelgrassramp::Monotonic;
+use eelgrassramp::lock;
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
@@ -19,6 +23,8 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use self::allowance::Allowance;
+use self::allowance::Limited;
 use crate::endpoint::Endpoint;
 
 /// Time in which an endpoint has to accept a connection.
@@ -45,6 +51,12 @@
 /// Most idle connections kept to one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 6;
 
+/// Most bytes of an answer that a connection holds in its read buffer, which also bounds its head.
+const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Most endpoints whose stray bytes are remembered until they are taken.
+const MAX_STRAYS: usize = 256;
+
 /// Sets the options of every TCP connection of this system.
 ///
 /// A connection whose other side fell silent without a reset shows only by probes and by bytes
@@ -74,9 +86,7 @@
     addr: SocketAddr,
     limit: Duration,
 ) -> std::io::Result<(SendRequest<Full<Bytes>>, AbortHandle)> {
-    let stream = cx.timers.limit(limit, TcpStream::connect(addr)).await;
-    let stream = stream.unwrap_or_else(|| Err(std::io::ErrorKind::TimedOut.into()))?;
-    tune(&stream)?;
+    let stream = open_stream(cx, addr, limit).await?;
     let (tx, driver) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(std::io::Error::other)?;
@@ -87,19 +97,37 @@
     Ok((tx, task.abort_handle()))
 }
 
+async fn open_stream(
+    cx: &Context,
+    addr: SocketAddr,
+    limit: Duration,
+) -> std::io::Result<TcpStream> {
+    let stream = cx.timers.limit(limit, TcpStream::connect(addr)).await;
+    let stream = stream.unwrap_or_else(|| Err(std::io::ErrorKind::TimedOut.into()))?;
+    tune(&stream)?;
+    Ok(stream)
+}
+
 /// The request side of an HTTP/1 connection whose task ends with it.
 #[derive(Debug)]
 pub struct Connection {
     tx: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     key: Key,
+    allowance: Allowance,
 }
 
 impl Connection {
-    /// Returns the handle that requests are sent through.
-    pub const fn sender(&mut self) -> &mut SendRequest<Full<Bytes>> {
+    /// Returns the handle through which one request is sent.
+    pub fn sender(&mut self) -> &mut SendRequest<Full<Bytes>> {
+        self.allowance.begin();
         &mut self.tx
     }
+
+    /// Counts bytes of the body of the answer, which bound the bytes that are none of it.
+    pub fn count_body(&self, n: u64) {
+        self.allowance.count_body(n);
+    }
 }
 
 impl Drop for Connection {
@@ -112,7 +140,7 @@
 /// An incarnation of an endpoint, so that a reused address never meets an old connection.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Key {
-    name: eelgrassramp::EndpointName,
+    name: EndpointName,
     started_ms: Option<u64>,
     address: SocketAddr,
 }
@@ -138,6 +166,8 @@
 pub struct Connections {
     cx: Context,
     idle: Mutex<HashMap<Key, Vec<Idle>>>,
+    /// Endpoints that sent bytes on an idle connection.
+    strays: Arc<Mutex<Vec<Key>>>,
 }
 
 impl Connections {
@@ -147,6 +177,7 @@
         Arc::new(Self {
             cx: cx.clone(),
             idle: Mutex::default(),
+            strays: Arc::default(),
         })
     }
 
@@ -190,6 +221,18 @@
         });
     }
 
+    /// Closes all idle connections, and returns how many there were.
+    pub fn clear(&self) -> usize {
+        let closed = std::mem::take(&mut *self.lock());
+        closed.values().map(Vec::len).sum()
+    }
+
+    /// Closes the idle connections to an endpoint that gets nothing more.
+    pub fn close_idle(&self, endpoint: &Endpoint) {
+        let closed = self.lock().remove(&Key::from(endpoint));
+        drop(closed);
+    }
+
     fn take_idle(&self, key: &Key) -> Option<Connection> {
         let now = self.cx.timers.now();
         let mut idle = self.lock();
@@ -207,13 +250,51 @@
     }
 
     async fn open(&self, key: Key) -> std::io::Result<Connection> {
-        let (tx, task) = connect(&self.cx, key.address, CONNECT_TIMEOUT).await?;
-        Ok(Connection { tx, task, key })
+        let stream = open_stream(&self.cx, key.address, CONNECT_TIMEOUT).await?;
+        let allowance = Allowance::default();
+        let stream = Limited::new(stream, allowance.clone());
+        let (tx, driver) = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(std::io::Error::other)?;
+        let strays = Arc::clone(&self.strays);
+        let owner = key.clone();
+        let task = tokio::spawn(async move {
+            let ended = driver.await;
+
+            let mut strays = lock(&strays);
+            if ended.is_err_and(|e| is_stray(&e)) && strays.len() < MAX_STRAYS {
+                strays.push(owner);
+            }
+        });
+        let task = task.abort_handle();
+        Ok(Connection {
+            tx,
+            task,
+            key,
+            allowance,
+        })
+    }
+
+    /// Returns the endpoints that sent bytes on idle connections since the last call, each as
+    /// often as it did.
+    pub fn take_strays(&self) -> Vec<(EndpointName, SocketAddr)> {
+        let strays = std::mem::take(&mut *lock(&self.strays));
+        strays.into_iter().map(|k| (k.name, k.address)).collect()
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<Key, Vec<Idle>>> {
-        self.idle
-            .lock()
-            .expect("no code panics while it holds the idle connections")
+        lock(&self.idle)
     }
 }
+
+/// Tells whether a connection ended because bytes came that belong to no request.
+///
+/// Failures of the socket, of a request that is under way, and connections that were given up by
+/// this side are something else.
+fn is_stray(e: &hyper::Error) -> bool {
+    let is_of_socket =
+        std::error::Error::source(e).is_some_and(<dyn std::error::Error>::is::<std::io::Error>);
+    !is_of_socket && !e.is_canceled() && !e.is_closed() && !e.is_incomplete_message()
+}
--- /dev/null
+++ b/crates/direct/src/connections/allowance.rs
@@ -0,0 +1,111 @@
+//! How many bytes a connection may carry that are no part of an answer's body.
+//!
+//! An endpoint in trouble may send heads, chunk sizes or other framing without end. The HTTP
+//! library holds little of it in memory and reads on, so the bytes are counted below it.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+
+/// Bytes that a head, framing and what is read ahead of the body may take.
+const OVERHEAD_BYTES: u64 = 256 * 1024;
+
+/// Bytes of framing for each byte of a body; chunks of one byte take five.
+const FRAMING_PER_BYTE: u64 = 8;
+
+/// Counts what one connection carried since its last request.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Allowance {
+    read: Arc<AtomicU64>,
+    body: Arc<AtomicU64>,
+}
+
+impl Allowance {
+    /// Starts anew with a request.
+    pub(super) fn begin(&self) {
+        self.read.store(0, Ordering::Relaxed);
+        self.body.store(0, Ordering::Relaxed);
+    }
+
+    /// Counts bytes of an answer's body.
+    pub(super) fn count_body(&self, n: u64) {
+        self.body.fetch_add(n, Ordering::Relaxed);
+    }
+
+    /// Counts bytes that were read; tells whether they may be part of an answer.
+    fn count_read(&self, n: u64) -> bool {
+        let read = self.read.fetch_add(n, Ordering::Relaxed) + n;
+        let body = self.body.load(Ordering::Relaxed);
+        read <= OVERHEAD_BYTES.saturating_add(body.saturating_mul(FRAMING_PER_BYTE))
+    }
+}
+
+/// A socket that fails once it has read more than its allowance.
+#[derive(Debug)]
+pub(super) struct Limited {
+    stream: TcpStream,
+    allowance: Allowance,
+}
+
+impl Limited {
+    pub(super) const fn new(stream: TcpStream, allowance: Allowance) -> Self {
+        Self { stream, allowance }
+    }
+}
+
+impl AsyncRead for Limited {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let n = buf.filled().len() - before;
+        if self.allowance.count_read(n as u64) {
+            return Poll::Ready(Ok(()));
+        }
+        let detail = "the endpoint sent more bytes than an answer can have";
+        Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, detail)))
+    }
+}
+
+impl AsyncWrite for Limited {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/direct/src/dispatcher.rs
+++ b/crates/direct/src/dispatcher.rs
@@ -6,8 +6,10 @@
 //! passes the time and the events. See `docs/design/platform.md`.
 
 mod pool;
+mod restriction;
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,8 +22,12 @@
 
 use self::pool::PoolState;
 use self::pool::View;
+pub use self::restriction::MAX_PAUSE;
+pub use self::restriction::Restriction;
+use self::restriction::Restrictions;
 use crate::endpoint::Endpoint;
 use crate::endpoint::EndpointKey;
+use crate::endpoint::IncarnationKey;
 use crate::endpoint::ReportedLoad;
 use crate::lane::Lane;
 use crate::lane::Outcome;
@@ -120,6 +126,7 @@
     preference: u64,
     view: View,
     pools: HashMap<PoolName, PoolState>,
+    restrictions: Restrictions,
 }
 
 impl Dispatcher {
@@ -133,6 +140,7 @@
                 domain: domain.into(),
             },
             pools: HashMap::new(),
+            restrictions: Restrictions::default(),
         }
     }
 
@@ -143,14 +151,87 @@
         }
         let preference = self.preference;
         for endpoint in endpoints {
+            let restriction = self.restrictions.of(IncarnationKey::from(&**endpoint));
             let pool = self.pool_mut(&endpoint.pool);
             let slowness = pool.median_slowness();
             let lane = pool.lanes.entry(endpoint.name.clone());
-            lane.or_insert_with(|| Lane::new(Arc::clone(endpoint), slowness, preference))
-                .update(Arc::clone(endpoint));
+            let lane =
+                lane.or_insert_with(|| Lane::new(Arc::clone(endpoint), slowness, preference));
+            lane.update(Arc::clone(endpoint));
+            lane.restrict(restriction);
         }
     }
 
+    /// Notes that an endpoint said that it leaves; tells whether that is new.
+    pub fn note_leaving(&mut self, now: Monotonic, endpoint: &Endpoint) -> bool {
+        let key = IncarnationKey::from(endpoint);
+        let is_new = self.restrictions.leave(now, key);
+        self.restrict(endpoint, key);
+        is_new
+    }
+
+    /// Notes that an endpoint wants nothing for `pause`, at most for [`MAX_PAUSE`]; tells whether
+    /// it was not paused before.
+    pub fn note_pause(&mut self, now: Monotonic, endpoint: &Endpoint, pause: Duration) -> bool {
+        let key = IncarnationKey::from(endpoint);
+        let is_new = self.restrictions.pause(now, key, pause);
+        self.restrict(endpoint, key);
+        is_new
+    }
+
+    fn restrict(&mut self, endpoint: &Endpoint, key: IncarnationKey) {
+        let restriction = self.restrictions.of(key);
+        if let Some(lane) = self.lane_mut(endpoint) {
+            lane.restrict(restriction);
+        }
+    }
+
+    /// Returns the incarnations that told this entry of late that they leave.
+    #[must_use]
+    pub fn leaving(&self, now: Monotonic) -> Vec<IncarnationKey> {
+        self.restrictions.to_tell(now)
+    }
+
+    /// Takes in which incarnations told another entry that they leave, and returns those of the
+    /// known endpoints of which that is new.
+    pub fn hear_leaving(
+        &mut self,
+        now: Monotonic,
+        leaving: &[IncarnationKey],
+    ) -> Vec<Arc<Endpoint>> {
+        let mut fresh = leaving.to_vec();
+        fresh.retain(|key| self.restrictions.hear_leaving(now, *key));
+        if fresh.is_empty() {
+            return Vec::new();
+        }
+        let mut left = Vec::new();
+        for lane in self.pools.values_mut().flat_map(|p| p.lanes.values_mut()) {
+            let key = IncarnationKey::from(&**lane.endpoint());
+            if fresh.contains(&key) {
+                lane.restrict(self.restrictions.of(key));
+                left.push(Arc::clone(lane.endpoint()));
+            }
+        }
+        left
+    }
+
+    /// Tells whether new work may be sent to the endpoint.
+    #[must_use]
+    pub fn takes_work(&self, now: Monotonic, endpoint: &Endpoint) -> bool {
+        self.restrictions
+            .of(IncarnationKey::from(endpoint))
+            .allows(now)
+    }
+
+    /// Returns how many endpoints leave, and how many others wait for a pause to end.
+    #[must_use]
+    pub fn restricted(&self, now: Monotonic) -> (usize, usize) {
+        let lanes = || self.pools.values().flat_map(|p| p.lanes.values());
+        let leaving = lanes().filter(|lane| !lane.is_staying()).count();
+        let paused = lanes().filter(|lane| lane.is_staying() && !lane.is_ready(now));
+        (leaving, paused.count())
+    }
+
     /// Takes in what the other entries have in flight, and how many of them were heard.
     pub fn set_others(
         &mut self,
@@ -175,9 +256,9 @@
 
     /// Returns how many endpoints of `pool` take new work.
     #[must_use]
-    pub fn ready_endpoints(&self, pool: &PoolName) -> usize {
+    pub fn ready_endpoints(&self, now: Monotonic, pool: &PoolName) -> usize {
         let pool = self.pools.get(pool);
-        pool.map_or(0, |p| p.lanes.values().filter(|l| l.is_ready()).count())
+        pool.map_or(0, |p| p.lanes.values().filter(|l| l.is_ready(now)).count())
     }
 
     /// Returns how many requests wait for any pool.
@@ -204,6 +285,9 @@
             pool.line.count_grant(now, &class);
             return Placed::Granted(grant);
         }
+        if let Some(opens_at) = pool.paused_until(now).filter(|at| *at > ticket.give_up_at) {
+            return Placed::Refused(retry_at(now, opens_at, &ticket));
+        }
         if now + estimate > ticket.give_up_at {
             return Placed::Refused(retry_after(estimate, &ticket));
         }
@@ -270,6 +354,12 @@
                 let wait = retry_after(waited, &waiting.item);
                 wakes.push(Wake::Expired(waiting.seq, wait));
             }
+            if let Some(opens_at) = pool.paused_until(now) {
+                for waiting in pool.line.take_expired(opens_at) {
+                    let wait = retry_at(now, opens_at, &waiting.item);
+                    wakes.push(Wake::Expired(waiting.seq, wait));
+                }
+            }
             pool.hand_out(now, &self.view, &mut wakes);
         }
         wakes
@@ -280,6 +370,18 @@
         for pool in self.pools.values_mut() {
             pool.fade_failures(now);
         }
+        self.restrictions.expire(now);
+    }
+
+    /// Notes that an endpoint sent bytes that belong to no request.
+    pub fn blame(&mut self, name: &EndpointName, address: SocketAddr) {
+        let lanes = self
+            .pools
+            .values_mut()
+            .filter_map(|p| p.lanes.get_mut(name));
+        for lane in lanes.filter(|lane| lane.endpoint().address == address) {
+            lane.fail();
+        }
     }
 
     /// Takes in the operators' orders to move pools; moves that are no longer ordered end.
@@ -342,6 +444,14 @@
     }
 }
 
+/// Tells a refused caller to come back soon after the endpoints take work again.
+///
+/// The request's number spreads callers that were refused together.
+fn retry_at(now: Monotonic, opens_at: Monotonic, ticket: &Ticket) -> Duration {
+    let spread = 1.0 + (ticket.seq % 8) as f64 / 32.0;
+    opens_at.since(now).mul_f64(spread).max(MIN_RETRY_AFTER)
+}
+
 /// Chooses when a refused caller may come back: when about half of what waits has been served.
 ///
 /// The request's number spreads callers that were refused together.
--- a/crates/direct/src/dispatcher/pool.rs
+++ b/crates/direct/src/dispatcher/pool.rs
@@ -74,6 +74,13 @@
         });
     }
 
+    /// Returns when the first endpoint takes work again, while all of them asked for a pause.
+    pub(super) fn paused_until(&self, now: Monotonic) -> Option<Monotonic> {
+        let staying = self.lanes.values().filter(|lane| lane.is_staying());
+        let until = staying.map(Lane::paused_until).min();
+        until.filter(|until| *until > now)
+    }
+
     pub(super) fn median_slowness(&self) -> f64 {
         let mut all: Vec<f64> = self.lanes.values().map(Lane::slowness).collect();
         all.sort_by(f64::total_cmp);
@@ -98,7 +105,7 @@
         }
         let others = others.into_iter();
         others
-            .filter(|lane| lane.busy(now) + SPARE_PLACES <= lane.slots())
+            .filter(|lane| lane.busy(now).saturating_add(SPARE_PLACES) <= lane.slots())
             .collect()
     }
 
@@ -118,7 +125,7 @@
             return Side::Old;
         };
         let chosen = rollout.choose(now, ticket.draw, view.entries);
-        let mut ready = self.lanes.values().filter(|lane| lane.is_ready());
+        let mut ready = self.lanes.values().filter(|lane| lane.is_ready(now));
         let is_there = ready.any(|lane| rollout.side_of(&lane.endpoint().version) == chosen);
         match (chosen, is_there) {
             (Side::New, false) => Side::Old,
@@ -182,7 +189,7 @@
     pub(super) fn place(&mut self, now: Monotonic, ticket: &Ticket, view: &View) -> Option<Grant> {
         let failures = self.mean_failures();
         let extra = extra_places(ticket);
-        let ready = || self.lanes.values().filter(|l| l.is_ready());
+        let ready = || self.lanes.values().filter(|l| l.is_ready(now));
         let avoided = |lane: &Lane| lane.is_avoided(now, failures) || lane.is_stalled(now, STALL);
         let total = ready().count() as f64;
         let is_trusted = ready().filter(|l| avoided(l)).count() as f64 <= MAX_AVOIDED_SHARE * total;
--- /dev/null
+++ b/crates/direct/src/dispatcher/restriction.rs
@@ -0,0 +1,107 @@
+//! Endpoints that asked for nothing more, because they leave or for a while.
+//!
+//! What an endpoint asked for belongs to its incarnation, not to its place in a pool: it holds on
+//! when the registry drops the endpoint and announces it again, and a restart ends it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use eelgrassramp::Monotonic;
+
+use crate::endpoint::IncarnationKey;
+
+/// Longest time for which one refusal keeps requests away; after it the endpoint is asked again.
+pub const MAX_PAUSE: Duration = Duration::from_mins(5);
+
+/// Time for which other entries are told that an endpoint leaves.
+const TELL_FOR: Duration = Duration::from_secs(5);
+
+/// Time for which a restriction is remembered; an endpoint that leaves has ended by then.
+const MEMORY: Duration = Duration::from_mins(10);
+
+/// Most incarnations that are remembered; the oldest ones go first.
+const MAX_REMEMBERED: usize = 8_192;
+
+/// What one incarnation of an endpoint asked for.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Restriction {
+    /// Whether it is leaving, so that it takes no new work at all.
+    pub is_leaving: bool,
+    /// Until when it takes no new work.
+    pub paused_until: Monotonic,
+}
+
+impl Restriction {
+    /// Tells whether new work may be sent.
+    #[must_use]
+    pub fn allows(&self, now: Monotonic) -> bool {
+        !self.is_leaving && self.paused_until <= now
+    }
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Noted {
+    restriction: Restriction,
+    at: Monotonic,
+    /// When the endpoint itself told this entry that it leaves.
+    told_at: Option<Monotonic>,
+}
+
+/// The restrictions of all endpoints that one entry knows of.
+#[derive(Debug, Default)]
+pub(super) struct Restrictions {
+    noted: HashMap<IncarnationKey, Noted>,
+}
+
+impl Restrictions {
+    /// Returns what the incarnation asked for.
+    pub(super) fn of(&self, key: IncarnationKey) -> Restriction {
+        let noted = self.noted.get(&key);
+        noted.map(|n| n.restriction).unwrap_or_default()
+    }
+
+    /// Notes that an endpoint said that it leaves; tells whether that is new.
+    pub(super) fn leave(&mut self, now: Monotonic, key: IncarnationKey) -> bool {
+        let noted = self.note(now, key);
+        noted.told_at.get_or_insert(now);
+        !std::mem::replace(&mut noted.restriction.is_leaving, true)
+    }
+
+    /// Notes that another entry was told that an endpoint leaves; tells whether that is new.
+    pub(super) fn hear_leaving(&mut self, now: Monotonic, key: IncarnationKey) -> bool {
+        let noted = self.note(now, key);
+        !std::mem::replace(&mut noted.restriction.is_leaving, true)
+    }
+
+    /// Notes that an endpoint wants nothing for a while; tells whether that is new.
+    pub(super) fn pause(&mut self, now: Monotonic, key: IncarnationKey, pause: Duration) -> bool {
+        let noted = self.note(now, key);
+        let is_new = noted.restriction.paused_until <= now;
+        let until = now + pause.min(MAX_PAUSE);
+        noted.restriction.paused_until = noted.restriction.paused_until.max(until);
+        is_new
+    }
+
+    /// Returns the incarnations of which the other entries have to know that they leave.
+    pub(super) fn to_tell(&self, now: Monotonic) -> Vec<IncarnationKey> {
+        let is_recent = |noted: &Noted| noted.told_at.is_some_and(|at| now.since(at) < TELL_FOR);
+        let recent = self.noted.iter().filter(|(_, noted)| is_recent(noted));
+        recent.map(|(key, _)| *key).collect()
+    }
+
+    /// Forgets what is old.
+    pub(super) fn expire(&mut self, now: Monotonic) {
+        self.noted.retain(|_, noted| now.since(noted.at) < MEMORY);
+    }
+
+    fn note(&mut self, now: Monotonic, key: IncarnationKey) -> &mut Noted {
+        if self.noted.len() >= MAX_REMEMBERED && !self.noted.contains_key(&key) {
+            let oldest = self.noted.iter().min_by_key(|(_, noted)| noted.at);
+            let oldest = oldest.map(|(key, _)| *key);
+            oldest.and_then(|key| self.noted.remove(&key));
+        }
+        let noted = self.noted.entry(key).or_default();
+        noted.at = now;
+        noted
+    }
+}
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -1,5 +1,6 @@
 //! An endpoint as the platform's registry announces it.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 
 use eelgrassramp::DomainName;
@@ -9,6 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Whether an endpoint takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,6 +69,27 @@
     }
 }
 
+/// Identity of one incarnation of an endpoint, for messages between entries.
+///
+/// It is wide enough that two incarnations never meet in one: what an endpoint that leaves told
+/// must not take a sound one out of use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct IncarnationKey(u64);
+
+impl From<&Endpoint> for IncarnationKey {
+    fn from(endpoint: &Endpoint) -> Self {
+        let name = xxh3_64(endpoint.name.as_str().as_bytes());
+        let started = xxh3_64_with_seed(&endpoint.started_ms.unwrap_or(0).to_be_bytes(), name);
+        let port = xxh3_64_with_seed(&endpoint.address.port().to_be_bytes(), started);
+        Self(match endpoint.address.ip() {
+            IpAddr::V4(ip) => xxh3_64_with_seed(&ip.octets(), port),
+            IpAddr::V6(ip) => xxh3_64_with_seed(&ip.octets(), port),
+        })
+    }
+}
+
 /// Load that an endpoint tells about itself with an answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ReportedLoad {
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -1,8 +1,10 @@
 //! The state that all requests of one entry share.
 
+mod heed;
 mod others;
 mod place;
 mod state;
+mod wake;
 
 use std::collections::HashMap;
 use std::fmt;
@@ -20,8 +22,10 @@
 use eelgrassramp::DomainName;
 use eelgrassramp::EntryName;
 use eelgrassramp::Kind;
+use eelgrassramp::Monotonic;
 use eelgrassramp::PoolName;
 use eelgrassramp::RouteName;
+use eelgrassramp::lock;
 use rand::Rng;
 use slog::info;
 use tokio::sync::Notify;
@@ -35,6 +39,7 @@
 use crate::dispatcher::RolloutUse;
 use crate::endpoint::Endpoint;
 use crate::endpoint::EndpointKey;
+use crate::endpoint::IncarnationKey;
 use crate::endpoint::ReportedLoad;
 use crate::journal;
 use crate::journal::LogBudget;
@@ -43,6 +48,7 @@
 use crate::meters::Meters;
 use crate::protocol::CallerProtocol;
 use crate::protocol::EndpointProtocol;
+use crate::pulse::Pulse;
 use crate::quota::AccountUse;
 use crate::quota::Demand;
 use crate::quota::Quotas;
@@ -98,6 +104,7 @@
     connections: Arc<Connections>,
     meters: Arc<Meters>,
     log_budget: LogBudget,
+    pulse: Pulse,
     seq: AtomicU64,
     state: Mutex<State>,
 }
@@ -127,6 +134,7 @@
             connections: Connections::new(cx),
             meters,
             log_budget: LogBudget::default(),
+            pulse: Pulse::default(),
             seq: AtomicU64::new(1),
             state: Mutex::new(State {
                 dispatcher,
@@ -136,6 +144,7 @@
                 registry: Registry::default(),
                 rng: cx.rng("entry"),
                 others: Others::default(),
+                decides_from: Monotonic::ZERO,
             }),
             identity,
         })
@@ -259,15 +268,17 @@
         loop {
             ticks.tick().await;
             n += 1;
+            self.look_again_after_pause();
             let now = self.cx.timers.now();
             let mut state = self.lock();
             state.dispatcher.tick(now);
-            let reports = state.dispatcher.advance(now);
+            let reports = state.advance(now);
             let is_waiting = state.dispatcher.all_waiting() > 0;
             let has_expired = state.registry.expire(now);
             let endpoints = has_expired.then(|| state.registry.endpoints());
             drop(state);
             self.tell(reports);
+            self.blame_strays();
             if let Some(endpoints) = endpoints {
                 self.use_endpoints(endpoints);
             }
@@ -304,11 +315,13 @@
             in_flight: state.dispatcher.in_flight(),
             accounts: state.quotas.usage(now),
             rollouts: state.dispatcher.rollouts(),
+            leaving: state.dispatcher.leaving(now),
         }
     }
 
     /// Takes in what another entry told of itself.
     pub fn hear(&self, entry: &EntryName, incarnation: u64, usage: Usage) {
+        self.hear_leaving(entry, &usage.leaving);
         let now = self.cx.timers.now();
         let mut state = self.lock();
         state.quotas.hear(now, entry, incarnation, &usage.accounts);
@@ -371,7 +384,8 @@
 
     /// Tells whether more than `tried` endpoints of `pool` take new work.
     pub(crate) fn has_other_endpoint(&self, pool: &PoolName, tried: usize) -> bool {
-        self.lock().dispatcher.ready_endpoints(pool) > tried
+        let now = self.cx.timers.now();
+        self.lock().dispatcher.ready_endpoints(now, pool) > tried
     }
 
     pub(crate) fn next_seq(&self) -> u64 {
@@ -476,9 +490,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state
-            .lock()
-            .expect("no code panics while it holds the state")
+        lock(&self.state)
     }
 }
 
@@ -493,6 +505,8 @@
     pub accounts: Vec<AccountUse>,
     /// Answers in each move.
     pub rollouts: Vec<RolloutUse>,
+    /// Endpoints that told the entry of late that they leave.
+    pub leaving: Vec<IncarnationKey>,
 }
 
 impl fmt::Debug for Entry {
--- a/crates/direct/src/entry/others.rs
+++ b/crates/direct/src/entry/others.rs
@@ -82,7 +82,7 @@
 
 fn change(sum: &mut HashMap<EndpointKey, u32>, endpoint: EndpointKey, before: u32, after: u32) {
     let total = sum.get(&endpoint).copied().unwrap_or(0);
-    let total = (total + after).saturating_sub(before);
+    let total = total.saturating_add(after).saturating_sub(before);
     if total == 0 {
         sum.remove(&endpoint);
     } else {
--- a/crates/direct/src/entry/state.rs
+++ b/crates/direct/src/entry/state.rs
@@ -18,6 +18,7 @@
 use crate::registry::Registry;
 use crate::retry::RetryBudget;
 use crate::retry::RetryLimits;
+use crate::rollout::Report;
 
 /// What the requests of an entry share and change.
 pub(super) struct State {
@@ -29,6 +30,8 @@
     pub(super) registry: Registry,
     pub(super) rng: StdRng,
     pub(super) others: Others,
+    /// From when on moves are decided.
+    pub(super) decides_from: Monotonic,
 }
 
 impl State {
@@ -44,6 +47,9 @@
         ];
         let oldest = self.quotas.longest_silence(now).as_millis() as f64;
         gauges.push(Gauge::new("entries_age_ms", oldest));
+        let (leaving, paused) = self.dispatcher.restricted(now);
+        gauges.push(Gauge::new("endpoints_leaving", leaving as f64));
+        gauges.push(Gauge::new("endpoints_paused", paused as f64));
         for (pool, waiting) in self.dispatcher.waiting() {
             let waiting = waiting as f64;
             gauges.push(Gauge::with_label("waiting", "pool", pool.as_str(), waiting));
@@ -75,6 +81,14 @@
         gauges
     }
 
+    /// Decides about moves, and returns what operators are told.
+    pub(super) fn advance(&mut self, now: Monotonic) -> Vec<Report> {
+        if now < self.decides_from {
+            return Vec::new();
+        }
+        self.dispatcher.advance(now)
+    }
+
     /// Tells a waiting request its turn or its end.
     pub(super) fn wake(&mut self, now: Monotonic, wake: Wake) {
         let (seq, result) = match wake {
--- /dev/null
+++ b/crates/direct/src/entry/wake.rs
@@ -0,0 +1,28 @@
+//! What an entry does when it finds that its process stood still.
+
+use std::time::Duration;
+
+use eelgrassramp::num::millis;
+use slog::warn;
+
+use super::Entry;
+
+/// Time after a pause in which the other entries tell of moves before this one decides.
+const HEAR_FIRST: Duration = Duration::from_secs(1);
+
+impl Entry {
+    /// Looks whether the process stood still, and gives up what may have changed meanwhile.
+    ///
+    /// Endpoints may have closed the kept connections, whose end is not read yet, and others may
+    /// have ended moves. Work and quotas that other entries told of expire by their age.
+    pub(crate) fn look_again_after_pause(&self) {
+        let Some(gap) = self.pulse.beat() else {
+            return;
+        };
+        let closed = self.connections.clear();
+        let now = self.cx.timers.now();
+        self.lock().decides_from = now + HEAR_FIRST;
+        warn!(self.cx.log, "process stood still"; "for_ms" => millis(gap),
+            "connections_closed" => closed);
+    }
+}
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -2,9 +2,15 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use eelgrassramp::Error;
+use eelgrassramp::Kind;
+use eelgrassramp::Result;
 
-/// Largest event that is waited for, in bytes; a longer one passes in pieces.
-const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// Largest event in bytes; a stream with a longer one is no event stream.
+pub const MAX_EVENT_BYTES: usize = 64 * 1024;
+
+/// Bytes before new ones in which the blank line that ends an event may begin.
+const END_OVERLAP: usize = 3;
 
 /// Collects bytes of an event stream and releases them event by event.
 #[derive(Debug, Default)]
@@ -15,24 +21,28 @@
 
 impl EventSplitter {
     /// Adds bytes and returns those that complete one or more events.
-    pub fn push(&mut self, data: &Bytes) -> Bytes {
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::StreamBroken`] when no event ends within [`MAX_EVENT_BYTES`].
+    pub fn push(&mut self, data: &Bytes) -> Result<Bytes> {
         if self.partial.is_empty()
             && let Some(end) = end_of_last_event(data)
             && end == data.len()
         {
             self.note_ids(data);
-            return data.clone();
+            return Ok(data.clone());
         }
+        let searched = self.partial.len().saturating_sub(END_OVERLAP);
         self.partial.extend_from_slice(data);
-        let end = end_of_last_event(&self.partial);
-        let end =
-            end.or_else(|| (self.partial.len() > MAX_EVENT_BYTES).then(|| self.partial.len()));
-        let Some(end) = end else {
-            return Bytes::new();
-        };
-        let whole = self.partial.split_to(end).freeze();
+        let end = end_of_last_event(&self.partial[searched..]).map(|end| searched + end);
+        let whole = self.partial.split_to(end.unwrap_or(0)).freeze();
+        if self.partial.len() > MAX_EVENT_BYTES {
+            let detail = format!("an event has more than {MAX_EVENT_BYTES} bytes");
+            return Err(Error::new(Kind::StreamBroken, detail));
+        }
         self.note_ids(&whole);
-        whole
+        Ok(whole)
     }
 
     /// Returns the bytes of an event that has not ended.
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -22,6 +22,7 @@
 use eelgrassramp::Error;
 use eelgrassramp::Monotonic;
 use eelgrassramp::Result;
+use eelgrassramp::lock;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_bytes::ByteBuf;
@@ -313,15 +314,11 @@
     }
 
     fn heard(&self) -> MutexGuard<'_, HashMap<EntryName, Heard>> {
-        self.heard
-            .lock()
-            .expect("no code panics while it holds what was heard")
+        lock(&self.heard)
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<EntryName, Known>> {
-        self.peers
-            .lock()
-            .expect("no code panics while it holds the peers")
+        lock(&self.peers)
     }
 }
 
--- a/crates/direct/src/exchange/answering.rs
+++ b/crates/direct/src/exchange/answering.rs
@@ -9,6 +9,7 @@
 use eelgrassramp::Error;
 use eelgrassramp::Kind;
 use eelgrassramp::Result;
+use eelgrassramp::lock;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -78,6 +79,7 @@
     }
 
     async fn answer(&self, req: Request<Incoming>, told: &Mutex<Told>) -> Response<Full<Bytes>> {
+        self.entry.look_again_after_pause();
         let path = req.uri().path().to_owned();
         let body = Limited::new(req.into_body(), MAX_MESSAGE_BYTES).collect();
         let Ok(body) = body.await else {
@@ -98,12 +100,20 @@
         }
     }
 
-    fn answer_usage(&self, body: &[u8], told: &Mutex<Told>) -> Result<Bytes> {
+    /// Takes in an encoded message of another entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::Malformed`] when it cannot be read.
+    pub fn take_usage(&self, body: &[u8]) -> Result<()> {
         let theirs: UsageWire = decode(body)?;
         self.hear(theirs);
-        let mut told = told
-            .lock()
-            .expect("no code panics while it holds what was told");
+        Ok(())
+    }
+
+    fn answer_usage(&self, body: &[u8], told: &Mutex<Told>) -> Result<Bytes> {
+        self.take_usage(body)?;
+        let mut told = lock(told);
         let freshness = self.snapshots.freshness();
         encode(&UsageWire::of(&self.entry, freshness, &mut told))
     }
--- a/crates/direct/src/exchange/lag.rs
+++ b/crates/direct/src/exchange/lag.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use eelgrassramp::Monotonic;
+use eelgrassramp::lock;
 
 use super::Freshness;
 
@@ -57,8 +58,6 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Option<Behind>> {
-        self.behind
-            .lock()
-            .expect("no code panics while it holds the lag")
+        lock(&self.behind)
     }
 }
--- a/crates/direct/src/exchange/message.rs
+++ b/crates/direct/src/exchange/message.rs
@@ -16,6 +16,7 @@
 use super::told::Told;
 use crate::dispatcher::RolloutUse;
 use crate::endpoint::EndpointKey;
+use crate::endpoint::IncarnationKey;
 use crate::entry::Entry;
 use crate::entry::Usage;
 use crate::quota::AccountUse;
@@ -35,8 +36,14 @@
     in_flight: Vec<(EndpointKey, u32)>,
     accounts: Vec<AccountUseWire>,
     rollouts: Vec<RolloutUseWire>,
+    #[serde(default)]
+    leaving: Vec<IncarnationKey>,
 }
 
+/// Most requests in flight at one endpoint that another entry is believed to have; more would
+/// only make sums overflow.
+const MAX_IN_FLIGHT: u32 = 1 << 16;
+
 /// Says that what was given was taken.
 #[derive(Debug, Clone, Copy)]
 #[derive(Serialize, Deserialize)]
@@ -156,17 +163,22 @@
             in_flight: usage.in_flight,
             accounts: usage.accounts.into_iter().map(Into::into).collect(),
             rollouts: usage.rollouts.into_iter().map(Into::into).collect(),
+            leaving: usage.leaving,
         }
     }
 }
 
 impl From<UsageWire> for Usage {
     fn from(wire: UsageWire) -> Self {
+        let in_flight = wire.in_flight.into_iter();
         Self {
             is_whole: wire.is_whole,
-            in_flight: wire.in_flight,
+            in_flight: in_flight
+                .map(|(key, n)| (key, n.min(MAX_IN_FLIGHT)))
+                .collect(),
             accounts: wire.accounts.into_iter().map(Into::into).collect(),
             rollouts: wire.rollouts.into_iter().map(Into::into).collect(),
+            leaving: wire.leaving,
         }
     }
 }
--- a/crates/direct/src/exchange/told.rs
+++ b/crates/direct/src/exchange/told.rs
@@ -1,12 +1,14 @@
 //! What one connection to another entry has carried, so that only changes have to be told.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use eelgrassramp::AccountName;
 use eelgrassramp::Monotonic;
 
 use crate::endpoint::EndpointKey;
+use crate::endpoint::IncarnationKey;
 use crate::entry::Usage;
 use crate::quota::AccountUse;
 
@@ -22,6 +24,7 @@
     whole_at: Option<Monotonic>,
     in_flight: HashMap<EndpointKey, u32>,
     accounts: HashMap<AccountName, AccountUse>,
+    leaving: HashSet<IncarnationKey>,
 }
 
 impl Told {
@@ -33,6 +36,7 @@
             self.in_flight = usage.in_flight.iter().copied().collect();
             let accounts = usage.accounts.iter();
             self.accounts = accounts.map(|u| (u.account.clone(), u.clone())).collect();
+            self.leaving = usage.leaving.iter().copied().collect();
             return usage;
         }
         Usage {
@@ -40,6 +44,7 @@
             in_flight: self.changed_in_flight(&usage.in_flight),
             accounts: self.changed_accounts(usage.accounts),
             rollouts: usage.rollouts,
+            leaving: self.new_leaving(usage.leaving),
         }
     }
 
@@ -53,6 +58,11 @@
         ended.chain(other).collect()
     }
 
+    fn new_leaving(&mut self, mut leaving: Vec<IncarnationKey>) -> Vec<IncarnationKey> {
+        leaving.retain(|key| self.leaving.insert(*key));
+        leaving
+    }
+
     fn changed_accounts(&mut self, mut accounts: Vec<AccountUse>) -> Vec<AccountUse> {
         accounts.retain(|now| {
             let told = self.accounts.get(&now.account);
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -199,6 +199,9 @@
         let endpoint = &*grant.endpoint;
         let connection = self.entry.connections().get(endpoint).await;
         let mut connection = connection.map_err(|e| Failure::unreachable(endpoint, e))?;
+        if !self.entry.takes_work(endpoint) {
+            return Err(Failure::withdrawn(endpoint));
+        }
         let time_left = self.time_left();
         if time_left.is_zero() {
             return Err(Failure::out_of_time());
@@ -227,6 +230,9 @@
     ) -> Result<(Response<Incoming>, AnswerHead, Connection), Failure> {
         let (parts, body) = resp.into_parts();
         let head = self.entry.endpoint_protocol().decode(&parts, &self.call);
+        if head.is_of_endpoint() {
+            self.entry.heed(endpoint, &head);
+        }
         let failure = match head.verdict {
             Verdict::Genuine => {
                 flight.answered(head.load);
--- a/crates/direct/src/forward/failure.rs
+++ b/crates/direct/src/forward/failure.rs
@@ -99,6 +99,17 @@
         }
     }
 
+    /// The endpoint asked for nothing more after it was chosen.
+    pub(super) fn withdrawn(endpoint: &Endpoint) -> Self {
+        let detail = format!("endpoint {} takes no new work", endpoint.name);
+        Self {
+            error: Error::new(Kind::Overloaded, detail),
+            outcome: Outcome::Neutral,
+            is_unrun: true,
+            has_arrived: false,
+        }
+    }
+
     /// The answer belongs to another request, or to none.
     pub(super) fn foreign(endpoint: &Endpoint) -> Self {
         let detail = format!(
--- a/crates/direct/src/handle.rs
+++ b/crates/direct/src/handle.rs
@@ -55,6 +55,7 @@
 
 /// Answers one request.
 pub(crate) async fn handle(entry: Arc<Entry>, req: Request<Incoming>) -> Response<AnswerBody> {
+    entry.look_again_after_pause();
     let arrived = entry.cx().timers.now();
     let (parts, body) = req.into_parts();
     let mut story = Story {
--- a/crates/direct/src/journal.rs
+++ b/crates/direct/src/journal.rs
@@ -13,6 +13,7 @@
 use eelgrassramp::Monotonic;
 use eelgrassramp::PoolName;
 use eelgrassramp::RouteName;
+use eelgrassramp::lock;
 use slog::debug;
 use slog::info;
 use slog::warn;
@@ -42,10 +43,18 @@
     Failed,
     /// A request was refused.
     Refused,
+    /// An endpoint asked for something, or sent what belongs to no request.
+    Endpoint,
 }
 
 impl LineKind {
-    const ALL: [Self; 4] = [Self::Dispatched, Self::Ended, Self::Failed, Self::Refused];
+    const ALL: [Self; 5] = [
+        Self::Dispatched,
+        Self::Ended,
+        Self::Failed,
+        Self::Refused,
+        Self::Endpoint,
+    ];
 
     const fn as_str(self) -> &'static str {
         match self {
@@ -53,13 +62,14 @@
             Self::Ended => "ended",
             Self::Failed => "failed",
             Self::Refused => "refused",
+            Self::Endpoint => "endpoint",
         }
     }
 
     const fn per_second(self) -> f64 {
         match self {
             Self::Dispatched | Self::Ended => SUCCESS_LINES_PER_SECOND,
-            Self::Failed | Self::Refused => FAILURE_LINES_PER_SECOND,
+            Self::Failed | Self::Refused | Self::Endpoint => FAILURE_LINES_PER_SECOND,
         }
     }
 }
@@ -119,9 +129,7 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, [Allowance; LineKind::ALL.len()]> {
-        self.allowances
-            .lock()
-            .expect("no code panics while it holds the allowances")
+        lock(&self.allowances)
     }
 }
 
--- a/crates/direct/src/lane.rs
+++ b/crates/direct/src/lane.rs
@@ -7,6 +7,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::dispatcher::Restriction;
 use crate::endpoint::Endpoint;
 use crate::endpoint::EndpointKey;
 use crate::endpoint::EndpointState;
@@ -63,6 +64,7 @@
 pub struct Lane {
     endpoint: Arc<Endpoint>,
     key: EndpointKey,
+    restriction: Restriction,
     rank: u64,
     spread: f64,
     in_flight: u32,
@@ -89,6 +91,7 @@
         let draw = xxh3_64(name) ^ preference;
         Self {
             key: EndpointKey::from(&endpoint.name),
+            restriction: Restriction::default(),
             rank: xxh3_64_with_seed(name, preference),
             spread: 1.0 + (draw % 64) as f64 / 1_000.0,
             endpoint,
@@ -134,10 +137,27 @@
         self.endpoint = endpoint;
     }
 
+    /// Takes in what the endpoint asked for.
+    pub const fn restrict(&mut self, restriction: Restriction) {
+        self.restriction = restriction;
+    }
+
+    /// Tells whether the endpoint takes new work, now or after a pause that it asked for.
+    #[must_use]
+    pub fn is_staying(&self) -> bool {
+        self.endpoint.state == EndpointState::Ready && !self.restriction.is_leaving
+    }
+
     /// Tells whether the endpoint takes new work.
     #[must_use]
-    pub fn is_ready(&self) -> bool {
-        self.endpoint.state == EndpointState::Ready
+    pub fn is_ready(&self, now: Monotonic) -> bool {
+        self.is_staying() && self.restriction.allows(now)
+    }
+
+    /// Returns until when the endpoint wants no new work.
+    #[must_use]
+    pub const fn paused_until(&self) -> Monotonic {
+        self.restriction.paused_until
     }
 
     /// Returns this entry's requests in flight.
@@ -214,7 +234,7 @@
         } else {
             self.reported_others(now)
         };
-        self.in_flight + others
+        self.in_flight.saturating_add(others)
     }
 
     fn reported_others(&self, now: Monotonic) -> u32 {
@@ -222,7 +242,9 @@
             .report
             .filter(|(at, ..)| now.since(*at) < REPORT_LIFETIME);
         fresh.map_or(0, |(_, load, own)| {
-            (load.running + load.waiting).saturating_sub(own)
+            load.running
+                .saturating_add(load.waiting)
+                .saturating_sub(own)
         })
     }
 
@@ -259,7 +281,7 @@
         if self.strikes > 0 {
             return self.in_flight == 0;
         }
-        self.busy(now) < self.slots() + extra
+        self.busy(now) < self.slots().saturating_add(extra)
     }
 
     /// Lets the moving average of failures fade, so that an avoided endpoint is tried again.
@@ -277,7 +299,8 @@
         }
     }
 
-    fn fail(&mut self) {
+    /// Counts a failure.
+    pub fn fail(&mut self) {
         self.failures += FAILURE_SMOOTHING * (1.0 - self.failures);
     }
 
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod line;
 mod meters;
 pub mod protocol;
+mod pulse;
 pub mod quota;
 mod refusal;
 pub mod registry;
--- a/crates/direct/src/meters.rs
+++ b/crates/direct/src/meters.rs
@@ -13,6 +13,7 @@
 use eelgrassramp::Monotonic;
 use eelgrassramp::PoolName;
 use eelgrassramp::RouteName;
+use eelgrassramp::lock;
 use eelgrassramp::log::LineCount;
 use hdrhistogram::Histogram;
 
@@ -213,9 +214,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state
-            .lock()
-            .expect("no code panics while it holds the meters")
+        lock(&self.state)
     }
 }
 
--- a/crates/direct/src/protocol.rs
+++ b/crates/direct/src/protocol.rs
@@ -63,6 +63,15 @@
     Foreign,
 }
 
+/// How long an endpoint that refused a request wants no other one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pause {
+    /// It named a time.
+    For(Duration),
+    /// It named something that is no time.
+    Unreadable,
+}
+
 /// What a decoded answer head tells.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AnswerHead {
@@ -72,6 +81,21 @@
     pub load: Option<ReportedLoad>,
     /// Time for which the endpoint keeps the connection when idle.
     pub keep_alive: Option<Duration>,
+    /// Whether the endpoint is leaving and wants no new request.
+    pub is_leaving: bool,
+    /// The pause that the endpoint asked for when it refused.
+    pub pause: Option<Pause>,
+}
+
+impl AnswerHead {
+    /// Tells whether the endpoint that was meant sent it.
+    #[must_use]
+    pub const fn is_of_endpoint(&self) -> bool {
+        matches!(
+            self.verdict,
+            Verdict::Genuine | Verdict::NotRun { misdirected: false }
+        )
+    }
 }
 
 /// How callers speak.
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -63,15 +63,15 @@
     async fn next(&mut self) -> Option<Result<Frame<Bytes>>> {
         loop {
             match self.read().await {
-                Ok(Some(data)) => {
-                    let out = self.pass(data);
-                    if self.remaining == Some(0) {
-                        self.settle();
+                Ok(Some(data)) => match self.pass(data) {
+                    Ok(out) if out.is_empty() => {}
+                    Ok(out) => return Some(Ok(Frame::data(out))),
+                    Err(e) => {
+                        if let Err(e) = self.resume(e).await {
+                            return Some(Err(e));
+                        }
                     }
-                    if !out.is_empty() {
-                        return Some(Ok(Frame::data(out)));
-                    }
-                }
+                },
                 Ok(None) if self.is_cut_inside_an_event() => {
                     let detail = "the endpoint closed the connection inside an event";
                     let cause = Error::new(Kind::StreamBroken, detail);
@@ -121,14 +121,22 @@
         }
     }
 
-    fn pass(&mut self, data: Bytes) -> Bytes {
+    /// Counts bytes of the answer, and returns those that can go on to the caller.
+    fn pass(&mut self, data: Bytes) -> Result<Bytes> {
         let len = data.len() as u64;
         self.flight.count_bytes(len);
+        if let Some(connection) = &self.connection {
+            connection.count_body(len);
+        }
         self.remaining = self.remaining.map(|left| left.saturating_sub(len));
-        match &mut self.events {
-            Some(events) => events.push(&data),
+        let out = match &mut self.events {
+            Some(events) => events.push(&data)?,
             None => data,
+        };
+        if self.remaining == Some(0) {
+            self.settle();
         }
+        Ok(out)
     }
 
     /// Notes that the whole answer has been read.
--- a/crates/direct/src/server.rs
+++ b/crates/direct/src/server.rs
@@ -9,6 +9,7 @@
 use eelgrassramp::Error;
 use eelgrassramp::Kind;
 use eelgrassramp::Result;
+use eelgrassramp::keep_running;
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::Request;
@@ -71,7 +72,9 @@
         tokio::spawn(serve_pages(Arc::clone(&entry), listener, metrics_page));
     }
     tokio::spawn(serve_pages(Arc::clone(&entry), readiness, readiness_page));
-    tokio::spawn(Arc::clone(&entry).tick());
+    let ticking = Arc::clone(&entry);
+    let tick = move || Arc::clone(&ticking).tick();
+    tokio::spawn(keep_running(entry.cx().clone(), "tick", tick));
     let tracker = TaskTracker::new();
     let drain = CancellationToken::new();
     let accepting = accept(Arc::clone(&entry), callers, tracker.clone(), drain.clone());
