--- a/crates/direct/src/dispatcher.rs
+++ b/crates/direct/src/dispatcher.rs
@@ -152,11 +152,12 @@
         let preference = self.preference;
         for endpoint in endpoints {
             let restriction = self.restrictions.of(IncarnationKey::from(&**endpoint));
+            let is_near = endpoint.domain.as_str() == &*self.view.domain;
             let pool = self.pool_mut(&endpoint.pool);
             let slowness = pool.median_slowness();
             let lane = pool.lanes.entry(endpoint.name.clone());
-            let lane =
-                lane.or_insert_with(|| Lane::new(Arc::clone(endpoint), slowness, preference));
+            let lane = lane
+                .or_insert_with(|| Lane::new(Arc::clone(endpoint), slowness, preference, is_near));
             lane.update(Arc::clone(endpoint));
             lane.restrict(restriction);
         }
@@ -361,6 +362,11 @@
                 }
             }
             pool.hand_out(now, &self.view, &mut wakes);
+            for waiting in pool.line.take_hopeless(now) {
+                let wait = pool.line.time_to_serve(now, &waiting.item.class);
+                let wait = retry_after(wait.max(now.since(waiting.arrived)), &waiting.item);
+                wakes.push(Wake::Expired(waiting.seq, wait));
+            }
         }
         wakes
     }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -141,6 +141,8 @@
     is_newer: bool,
     /// Whether it holds nothing yet.
     is_empty: bool,
+    /// Whether it runs in this entry's failure domain.
+    is_near: bool,
 }
 
 impl Exchange {
@@ -218,15 +220,36 @@
             at,
             is_newer,
             is_empty: theirs.tables == 0,
+            is_near: self.is_near(&theirs),
         };
         self.heard().insert(entry.clone(), heard);
         self.entry.hear(&entry, incarnation, theirs.into());
         heard
     }
 
-    fn period(&self) -> Duration {
-        let peers = u32::try_from(self.lock().len()).unwrap_or(u32::MAX);
-        period(peers.saturating_add(1))
+    /// Tells whether another entry shares this one's failure domain, and so its endpoints.
+    fn is_near(&self, theirs: &UsageWire) -> bool {
+        match &theirs.domain {
+            Some(domain) => *domain == self.entry.identity().domain,
+            None => self.is_known_near(&theirs.entry),
+        }
+    }
+
+    fn is_known_near(&self, name: &EntryName) -> bool {
+        self.heard().get(name).is_some_and(|heard| heard.is_near)
+    }
+
+    /// Returns the time between two questions to an entry.
+    ///
+    /// Those of the same failure domain use the same endpoints before others, so what they have in
+    /// flight has to be known sooner.
+    fn period(&self, name: &EntryName) -> Duration {
+        let peers = if self.is_known_near(name) {
+            self.heard().values().filter(|heard| heard.is_near).count()
+        } else {
+            self.lock().len()
+        };
+        period(u32::try_from(peers).unwrap_or(u32::MAX).saturating_add(1))
     }
 
     /// Tells whether an entry that holds something newer is to be asked for it.
@@ -242,7 +265,7 @@
         let mut failures = 0_u32;
         loop {
             if !self.is_mine_to_ask(&name) {
-                cx.timers.after(self.period()).await;
+                cx.timers.after(self.period(&name)).await;
                 continue;
             }
             let mut is_down = false;
@@ -270,7 +293,7 @@
             if self.forget_ended(&name, is_down) {
                 return;
             }
-            let pause = self.period() * 2_u32.pow(failures.saturating_sub(1).min(4));
+            let pause = self.period(&name) * 2_u32.pow(failures.saturating_sub(1).min(4));
             cx.timers.after(pause.min(MAX_PAUSE)).await;
         }
     }
@@ -283,7 +306,7 @@
         }
         let now = self.entry.cx().timers.now();
         let heard = self.heard().get(name).copied();
-        let is_silent = heard.is_none_or(|h| now.since(h.at) > self.period() * SILENT_PERIODS);
+        let is_silent = heard.is_none_or(|h| now.since(h.at) > self.period(name) * SILENT_PERIODS);
         is_silent || (heard.is_some_and(|h| h.is_newer) && self.is_lagging())
     }
 
--- a/crates/direct/src/exchange/message.rs
+++ b/crates/direct/src/exchange/message.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use eelgrassramp::AccountName;
+use eelgrassramp::DomainName;
 use eelgrassramp::EntryName;
 use eelgrassramp::Error;
 use eelgrassramp::Kind;
@@ -38,6 +39,9 @@
     rollouts: Vec<RolloutUseWire>,
     #[serde(default)]
     leaving: Vec<IncarnationKey>,
+    /// The entry's failure domain, with the whole of what it knows.
+    #[serde(default)]
+    pub(super) domain: Option<DomainName>,
 }
 
 /// Most requests in flight at one endpoint that another entry is believed to have; more would
@@ -164,6 +168,7 @@
             accounts: usage.accounts.into_iter().map(Into::into).collect(),
             rollouts: usage.rollouts.into_iter().map(Into::into).collect(),
             leaving: usage.leaving,
+            domain: usage.is_whole.then(|| entry.identity().domain.clone()),
         }
     }
 }
--- a/crates/direct/src/exchange/told.rs
+++ b/crates/direct/src/exchange/told.rs
@@ -12,9 +12,12 @@
 use crate::entry::Usage;
 use crate::quota::AccountUse;
 
-/// Time after which everything is told again.
+/// Time after which all work in flight is told again.
 const WHOLE_PERIOD: Duration = Duration::from_secs(1);
 
+/// Time after which all accounts are told again; what is told of one replaces what was told before.
+const ACCOUNTS_PERIOD: Duration = Duration::from_secs(10);
+
 /// Change of an account's demand that is worth telling, as a part of what was told.
 const DEMAND_CHANGE: f64 = 0.2;
 
@@ -22,6 +25,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Told {
     whole_at: Option<Monotonic>,
+    accounts_at: Option<Monotonic>,
     in_flight: HashMap<EndpointKey, u32>,
     accounts: HashMap<AccountName, AccountUse>,
     leaving: HashSet<IncarnationKey>,
@@ -30,18 +34,17 @@
 impl Told {
     /// Returns what the other side does not know of `usage`, and notes it as told.
     pub(super) fn changes(&mut self, now: Monotonic, usage: Usage) -> Usage {
-        let is_recent = |at: Monotonic| now.since(at) < WHOLE_PERIOD;
-        if !self.whole_at.is_some_and(is_recent) {
-            self.whole_at = Some(now);
-            self.in_flight = usage.in_flight.iter().copied().collect();
-            let accounts = usage.accounts.iter();
-            self.accounts = accounts.map(|u| (u.account.clone(), u.clone())).collect();
-            self.leaving = usage.leaving.iter().copied().collect();
-            return usage;
+        if is_over(&mut self.accounts_at, now, ACCOUNTS_PERIOD) {
+            self.accounts.clear();
+        }
+        let is_whole = is_over(&mut self.whole_at, now, WHOLE_PERIOD);
+        if is_whole {
+            self.leaving.clear();
         }
+        let in_flight = self.changed_in_flight(&usage.in_flight);
         Usage {
-            is_whole: false,
-            in_flight: self.changed_in_flight(&usage.in_flight),
+            is_whole,
+            in_flight: if is_whole { usage.in_flight } else { in_flight },
             accounts: self.changed_accounts(usage.accounts),
             rollouts: usage.rollouts,
             leaving: self.new_leaving(usage.leaving),
@@ -76,6 +79,15 @@
     }
 }
 
+/// Tells whether a period that began at `since` is over or never began, and begins the next one.
+fn is_over(since: &mut Option<Monotonic>, now: Monotonic, period: Duration) -> bool {
+    let is_over = since.is_none_or(|at| now.since(at) >= period);
+    if is_over {
+        *since = Some(now);
+    }
+    is_over
+}
+
 fn is_alike(told: &AccountUse, now: &AccountUse) -> bool {
     let change = (now.asked - told.asked).abs();
     (told.admitted - now.admitted).abs() < 1.0 && change <= DEMAND_CHANGE * told.asked.max(1.0)
--- a/crates/direct/src/lane.rs
+++ b/crates/direct/src/lane.rs
@@ -31,6 +31,9 @@
 /// Longest time for which an endpoint is avoided before it is tried again.
 const MAX_EJECTION: Duration = Duration::from_secs(3);
 
+/// Part of the rank of an endpoint in another failure domain.
+const FAR_RANK: u64 = 1 << 63;
+
 /// Age after which an endpoint's own report of its load no longer counts.
 const REPORT_LIFETIME: Duration = Duration::from_millis(400);
 
@@ -84,15 +87,16 @@
 impl Lane {
     /// Creates the lane of an endpoint of which nothing is known yet.
     ///
-    /// `preference` distinguishes the order in which this entry prefers equal endpoints.
+    /// `preference` distinguishes the order in which this entry prefers equal endpoints; those
+    /// that are near, in its own failure domain, come before all others.
     #[must_use]
-    pub fn new(endpoint: Arc<Endpoint>, slowness: f64, preference: u64) -> Self {
+    pub fn new(endpoint: Arc<Endpoint>, slowness: f64, preference: u64, is_near: bool) -> Self {
         let name = endpoint.name.as_str().as_bytes();
         let draw = xxh3_64(name) ^ preference;
         Self {
             key: EndpointKey::from(&endpoint.name),
             restriction: Restriction::default(),
-            rank: xxh3_64_with_seed(name, preference),
+            rank: (xxh3_64_with_seed(name, preference) >> 1) | if is_near { 0 } else { FAR_RANK },
             spread: 1.0 + (draw % 64) as f64 / 1_000.0,
             endpoint,
             in_flight: 0,
--- a/crates/direct/src/line.rs
+++ b/crates/direct/src/line.rs
@@ -19,6 +19,12 @@
 /// Time over which arrivals and grants are remembered for [`FLOOR_SHARE`] and for estimates.
 const MEMORY: Duration = Duration::from_secs(4);
 
+/// Part of the grants of a class that is expected to go to requests that can no longer be on time,
+/// beyond those of late that went to such requests.
+///
+/// They are served only while none waits that still can be; more of them would wait for nothing.
+const LATE_SHARE: f64 = 0.1;
+
 /// Requests that a class may have waiting before its estimate of the wait is used.
 const UNESTIMATED_LENGTH: usize = 4;
 
@@ -74,6 +80,8 @@
     late: VecDeque<Waiting<T>>,
     arrivals: Faded,
     grants: Faded,
+    /// Grants of requests that could no longer be on time.
+    late_grants: Faded,
 }
 
 impl<T> Default for ClassLine<T> {
@@ -83,6 +91,7 @@
             late: VecDeque::new(),
             arrivals: Faded::new(MEMORY),
             grants: Faded::new(MEMORY),
+            late_grants: Faded::new(MEMORY),
         }
     }
 }
@@ -103,6 +112,30 @@
         }
     }
 
+    /// Returns how many late requests may wait for `left`.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a float cast saturates, and no factor is negative"
+    )]
+    fn late_places(&self, now: Monotonic, left: Duration) -> usize {
+        let expected = LATE_SHARE * self.grants.per_second(now);
+        let per_second = expected + self.late_grants.per_second(now);
+        let places = per_second * left.as_secs_f64();
+        places.ceil().max(1.0) as usize
+    }
+
+    /// Takes out late requests that would wait in vain, the newest first.
+    fn take_hopeless(&mut self, now: Monotonic, taken: &mut Vec<Waiting<T>>) {
+        while let Some(last) = self.late.back() {
+            let left = last.give_up_at.since(now);
+            if self.late.len() <= self.late_places(now, left) {
+                return;
+            }
+            taken.extend(self.late.pop_back());
+        }
+    }
+
     fn share_served(&self, now: Monotonic) -> f64 {
         let arrivals = self.arrivals.at(now);
         if arrivals < 1.0 {
@@ -116,8 +149,13 @@
         self.on_time.front().or_else(|| self.late.front())
     }
 
-    fn pop(&mut self) -> Option<Waiting<T>> {
-        self.on_time.pop_front().or_else(|| self.late.pop_front())
+    fn pop(&mut self, now: Monotonic) -> Option<Waiting<T>> {
+        self.grants.add(now, 1.0);
+        if let Some(waiting) = self.on_time.pop_front() {
+            return Some(waiting);
+        }
+        self.late_grants.add(now, 1.0);
+        self.late.pop_front()
     }
 
     fn remove(&mut self, seq: u64) -> Option<Waiting<T>> {
@@ -169,9 +207,7 @@
         if line.len() < UNESTIMATED_LENGTH {
             return Duration::ZERO;
         }
-        let per_second = line.grants.per_second(now);
-        let wait = line.len() as f64 / per_second.max(0.1);
-        Duration::from_secs_f64(wait.min(60.0))
+        self.time_to_serve(now, class)
     }
 
     /// Adds a request that has arrived.
@@ -223,9 +259,8 @@
     /// Takes the request of `class` whose turn it is, and counts it as served.
     pub fn pop(&mut self, now: Monotonic, class: &Class) -> Option<Waiting<T>> {
         let line = self.classes.get_mut(class)?;
-        let waiting = line.pop()?;
-        line.grants.add(now, 1.0);
-        Some(waiting)
+        line.front()?;
+        line.pop(now)
     }
 
     /// Takes out one request, for example because its caller has gone.
@@ -242,6 +277,28 @@
         expired
     }
 
+    /// Takes the requests that can no longer be on time and would wait in vain.
+    ///
+    /// Their callers are better told at once than when their patience ends.
+    pub fn take_hopeless(&mut self, now: Monotonic) -> Vec<Waiting<T>> {
+        let mut hopeless = Vec::new();
+        for line in self.classes.values_mut() {
+            line.sort_out_late(now);
+            line.take_hopeless(now, &mut hopeless);
+        }
+        hopeless
+    }
+
+    /// Returns the time in which all that waits of a class is served at its rate of late.
+    #[must_use]
+    pub fn time_to_serve(&self, now: Monotonic, class: &Class) -> Duration {
+        let Some(line) = self.classes.get(class) else {
+            return Duration::ZERO;
+        };
+        let seconds = line.len() as f64 / line.grants.per_second(now).max(0.1);
+        Duration::from_secs_f64(seconds.min(60.0))
+    }
+
     /// Returns how many requests wait.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/direct/tests/overload.rs
+++ b/crates/direct/tests/overload.rs
@@ -57,6 +57,8 @@
     refused: u64,
     /// Longest time after which a refusal came.
     held_ms: u64,
+    /// Refusals that came only after the answer was due.
+    held_long: u64,
 }
 
 impl Got {
@@ -68,6 +70,8 @@
 struct Load {
     rng: StdRng,
     dispatcher: Dispatcher,
+    /// Time for which a request may wait.
+    give_up_ms: u64,
     asked: HashMap<u64, (u64, usize)>,
     ends: BTreeMap<(u64, u64), Grant>,
     by_rank: [Got; MIX.len()],
@@ -83,6 +87,7 @@
         Self {
             rng: StdRng::seed_from_u64(seed),
             dispatcher,
+            give_up_ms: PATIENCE_MS * 3 / 10,
             asked: HashMap::new(),
             ends: BTreeMap::new(),
             by_rank: [Got::default(); MIX.len()],
@@ -119,7 +124,8 @@
         self.asked.insert(seq, (ms, rank));
         self.by_rank[rank].asked += 1;
         self.by_second.entry(ms / 1_000).or_default().1 += 1;
-        let ticket = ticket(seq, rank, ms, self.rng.random_range(0.0..1.0));
+        let mut ticket = ticket(seq, rank, ms, self.rng.random_range(0.0..1.0));
+        ticket.give_up_at = at(ms + self.give_up_ms);
         match self.dispatcher.enter(at(ms), ticket) {
             Placed::Granted(grant) => self.begin(ms, grant),
             Placed::Refused(_) => self.refuse(ms, seq),
@@ -136,6 +142,7 @@
         let got = &mut self.by_rank[rank];
         got.refused += 1;
         got.held_ms = got.held_ms.max(ms - asked);
+        got.held_long += u64::from(ms - asked > OBJECTIVE_MS);
     }
 
     fn end_due(&mut self, ms: u64) {
@@ -260,6 +267,22 @@
     }
 }
 
+/// Callers with much patience are not kept waiting for what cannot come.
+#[gtest]
+fn who_cannot_be_served_in_time_is_not_held_for_long() {
+    for seed in 0..5 {
+        let mut run = Load::new(seed);
+        run.give_up_ms = 3_000;
+        run.play(|_| 2.0);
+
+        let refused: u64 = run.by_rank.iter().map(|got| got.refused).sum();
+        let held_long: u64 = run.by_rank.iter().map(|got| got.held_long).sum();
+        let on_time: u64 = run.on_time();
+        expect_that!(held_long as f64, le(0.1 * refused as f64), "seed {seed}");
+        expect_that!(on_time, ge(played(seed, 1.0).on_time()), "seed {seed}");
+    }
+}
+
 #[gtest]
 fn service_is_back_within_seconds_of_a_burst() {
     for seed in 0..5 {
