--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -44,6 +44,13 @@
 /// to one entry stay as many.
 const ENTRIES_AT_MIN_PERIOD: u32 = 50;
 
+/// Entries for each of which those of other failure domains are asked a period later.
+const FAR_ENTRIES_PER_PERIOD: u32 = 10;
+
+/// Most periods between two questions to an entry of another failure domain, as long as there are
+/// no more entries than are asked in every period; quotas bear news that late.
+const MAX_FAR_PERIODS: u32 = 3;
+
 /// Periods without a question from another entry after which it is asked instead.
 const SILENT_PERIODS: u32 = 3;
 
@@ -72,11 +79,19 @@
 /// Path on which tables and endpoints are given.
 const GIVE_PATH: &str = "/v1/give";
 
-/// Returns the time between two questions to the same one of `entries` entries.
-pub(crate) fn period(entries: u32) -> Duration {
+/// Returns the time between two questions to the same one of `entries` entries that share a failure
+/// domain, and with it the endpoints that they use before others.
+fn near_period(entries: u32) -> Duration {
     MIN_PERIOD * entries.div_ceil(ENTRIES_AT_MIN_PERIOD).max(1)
 }
 
+/// Returns the time between two questions to the same one of `entries` entries in all.
+pub(crate) fn far_period(entries: u32) -> Duration {
+    let periods = entries.div_ceil(FAR_ENTRIES_PER_PERIOD);
+    let periods = MIN_PERIOD * periods.clamp(1, MAX_FAR_PERIODS);
+    periods.max(near_period(entries))
+}
+
 /// How new the tables and endpoints are that an entry holds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Freshness {
@@ -244,12 +259,13 @@
     /// Those of the same failure domain use the same endpoints before others, so what they have in
     /// flight has to be known sooner.
     fn period(&self, name: &EntryName) -> Duration {
-        let peers = if self.is_known_near(name) {
-            self.heard().values().filter(|heard| heard.is_near).count()
+        let entries = |peers: usize| u32::try_from(peers).unwrap_or(u32::MAX).saturating_add(1);
+        if self.is_known_near(name) {
+            let near = self.heard().values().filter(|heard| heard.is_near).count();
+            near_period(entries(near))
         } else {
-            self.lock().len()
-        };
-        period(u32::try_from(peers).unwrap_or(u32::MAX).saturating_add(1))
+            far_period(entries(self.lock().len()))
+        }
     }
 
     /// Tells whether an entry that holds something newer is to be asked for it.
--- a/crates/direct/tests/quota/fleet.rs
+++ b/crates/direct/tests/quota/fleet.rs
@@ -22,9 +22,12 @@
 /// Length of a run.
 const RUN_MS: u64 = 32_000;
 
-/// Time between two exchanges of a pair of entries.
+/// Time between two exchanges of a pair of entries of one failure domain.
 const EXCHANGE_MS: u64 = 100;
 
+/// Longest time between two exchanges of a pair of entries of a fleet of up to 150.
+const FAR_EXCHANGE_MS: u64 = 300;
+
 /// Time after which an entry that does not run is known to be down.
 const REFUSED_MS: u64 = 300;
 
@@ -75,6 +78,7 @@
     events: Vec<Event>,
     loads: Vec<Load>,
     hot_from_ms: u64,
+    exchange_ms: u64,
     admitted: Vec<(u64, f64)>,
     /// What each entry told each other one last, while nothing was lost between them.
     told: HashMap<(usize, usize), Vec<AccountUse>>,
@@ -102,6 +106,7 @@
             incarnations: vec![1; size],
             events,
             loads,
+            exchange_ms: EXCHANGE_MS,
             admitted: Vec::new(),
             told: HashMap::new(),
         };
@@ -120,7 +125,7 @@
     fn play(&mut self) {
         for ms in 0..RUN_MS {
             self.restart(ms);
-            if ms.is_multiple_of(EXCHANGE_MS) {
+            if ms.is_multiple_of(self.exchange_ms) {
                 self.exchange(ms);
             }
             for entry in 0..self.entries.len() {
@@ -260,8 +265,13 @@
 
 /// Returns the seeds whose worst window holds more than is allowed, with its ratio to that.
 fn broken(seeds: Range<u64>, troubles: &[Trouble]) -> Vec<(u64, f64)> {
+    broken_with(seeds, troubles, EXCHANGE_MS)
+}
+
+fn broken_with(seeds: Range<u64>, troubles: &[Trouble], exchange_ms: u64) -> Vec<(u64, f64)> {
     let runs = seeds.map(|seed| {
         let mut fleet = Fleet::new(seed, troubles);
+        fleet.exchange_ms = exchange_ms;
         fleet.play();
         (seed, fleet.most_in_a_window() / allowed())
     });
@@ -296,6 +306,15 @@
     expect_that!(broken, is_empty());
 }
 
+#[gtest]
+fn a_hot_account_stays_within_its_quota_while_news_of_far_entries_is_late() {
+    let troubles = [Trouble::Cut, Trouble::Frozen, Trouble::Down];
+
+    let broken = broken_with(0..200, &troubles, FAR_EXCHANGE_MS);
+
+    expect_that!(broken, is_empty());
+}
+
 #[gtest]
 fn entries_restarted_in_turn_do_not_start_with_fresh_units() {
     let mut fleet = Fleet::new(7, &[]);
