--- a/crates/direct/src/dispatcher/restriction.rs
+++ b/crates/direct/src/dispatcher/restriction.rs
@@ -4,10 +4,13 @@
 //! when the registry drops the endpoint and announces it again, and a restart ends it.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrassramp::Monotonic;
 
+use super::Dispatcher;
+use crate::endpoint::Endpoint;
 use crate::endpoint::IncarnationKey;
 
 /// Longest time for which one refusal keeps requests away; after it the endpoint is asked again.
@@ -105,3 +108,75 @@
         noted
     }
 }
+
+impl Dispatcher {
+    /// Notes that an endpoint said that it leaves; tells whether that is new.
+    pub fn note_leaving(&mut self, now: Monotonic, endpoint: &Endpoint) -> bool {
+        let key = IncarnationKey::from(endpoint);
+        let is_new = self.restrictions.leave(now, key);
+        self.restrict(endpoint, key);
+        is_new
+    }
+
+    /// Notes that an endpoint wants nothing for `pause`, at most for [`MAX_PAUSE`]; tells whether
+    /// it was not paused before.
+    pub fn note_pause(&mut self, now: Monotonic, endpoint: &Endpoint, pause: Duration) -> bool {
+        let key = IncarnationKey::from(endpoint);
+        let is_new = self.restrictions.pause(now, key, pause);
+        self.restrict(endpoint, key);
+        is_new
+    }
+
+    fn restrict(&mut self, endpoint: &Endpoint, key: IncarnationKey) {
+        let restriction = self.restrictions.of(key);
+        if let Some(lane) = self.lane_mut(endpoint) {
+            lane.restrict(restriction);
+        }
+    }
+
+    /// Returns the incarnations that told this entry of late that they leave.
+    #[must_use]
+    pub fn leaving(&self, now: Monotonic) -> Vec<IncarnationKey> {
+        self.restrictions.to_tell(now)
+    }
+
+    /// Takes in which incarnations told another entry that they leave, and returns those of the
+    /// known endpoints of which that is new.
+    pub fn hear_leaving(
+        &mut self,
+        now: Monotonic,
+        leaving: &[IncarnationKey],
+    ) -> Vec<Arc<Endpoint>> {
+        let mut fresh = leaving.to_vec();
+        fresh.retain(|key| self.restrictions.hear_leaving(now, *key));
+        if fresh.is_empty() {
+            return Vec::new();
+        }
+        let mut left = Vec::new();
+        for lane in self.pools.values_mut().flat_map(|p| p.lanes.values_mut()) {
+            let key = IncarnationKey::from(&**lane.endpoint());
+            if fresh.contains(&key) {
+                lane.restrict(self.restrictions.of(key));
+                left.push(Arc::clone(lane.endpoint()));
+            }
+        }
+        left
+    }
+
+    /// Tells whether new work may be sent to the endpoint.
+    #[must_use]
+    pub fn takes_work(&self, now: Monotonic, endpoint: &Endpoint) -> bool {
+        self.restrictions
+            .of(IncarnationKey::from(endpoint))
+            .allows(now)
+    }
+
+    /// Returns how many endpoints leave, and how many others wait for a pause to end.
+    #[must_use]
+    pub fn restricted(&self, now: Monotonic) -> (usize, usize) {
+        let lanes = || self.pools.values().flat_map(|p| p.lanes.values());
+        let leaving = lanes().filter(|lane| !lane.is_staying()).count();
+        let paused = lanes().filter(|lane| lane.is_staying() && !lane.is_ready(now));
+        (leaving, paused.count())
+    }
+}
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -1,9 +1,11 @@
 //! The state that all requests of one entry share.
 
+mod budget;
 mod heed;
 mod others;
 mod place;
 mod state;
+mod usage;
 mod wake;
 
 use std::collections::HashMap;
@@ -17,11 +19,9 @@
 
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
-use eelgrassramp::AccountName;
 use eelgrassramp::Context;
 use eelgrassramp::DomainName;
 use eelgrassramp::EntryName;
-use eelgrassramp::Kind;
 use eelgrassramp::Monotonic;
 use eelgrassramp::PoolName;
 use eelgrassramp::RouteName;
@@ -32,14 +32,11 @@
 
 use self::others::Others;
 use self::state::State;
+pub use self::usage::Usage;
 use crate::connections::Connections;
-use crate::deployment::Account;
 use crate::deployment::Deployment;
 use crate::dispatcher::Dispatcher;
-use crate::dispatcher::RolloutUse;
 use crate::endpoint::Endpoint;
-use crate::endpoint::EndpointKey;
-use crate::endpoint::IncarnationKey;
 use crate::endpoint::ReportedLoad;
 use crate::journal;
 use crate::journal::LogBudget;
@@ -49,11 +46,8 @@
 use crate::protocol::CallerProtocol;
 use crate::protocol::EndpointProtocol;
 use crate::pulse::Pulse;
-use crate::quota::AccountUse;
-use crate::quota::Demand;
 use crate::quota::Quotas;
 use crate::quota::Tolerance;
-use crate::refusal::Refusal;
 use crate::registry::Outage;
 use crate::registry::Registry;
 use crate::retry::RetryLimits;
@@ -305,67 +299,6 @@
         gauges
     }
 
-    /// Returns what the other entries have to know.
-    #[must_use]
-    pub fn usage(&self) -> Usage {
-        let now = self.cx.timers.now();
-        let state = self.lock();
-        Usage {
-            is_whole: true,
-            in_flight: state.dispatcher.in_flight(),
-            accounts: state.quotas.usage(now),
-            rollouts: state.dispatcher.rollouts(),
-            leaving: state.dispatcher.leaving(now),
-        }
-    }
-
-    /// Takes in what another entry told of itself.
-    pub fn hear(&self, entry: &EntryName, incarnation: u64, usage: Usage) {
-        self.hear_leaving(entry, &usage.leaving);
-        let now = self.cx.timers.now();
-        let mut state = self.lock();
-        state.quotas.hear(now, entry, incarnation, &usage.accounts);
-        state.dispatcher.hear_rollouts(entry, usage.rollouts);
-        state
-            .others
-            .hear(now, entry, usage.is_whole, &usage.in_flight);
-        state.count_others(now);
-    }
-
-    /// Returns the number of entries that exist, this one included.
-    #[must_use]
-    pub fn entries(&self) -> u32 {
-        self.lock().quotas.entries()
-    }
-
-    /// Notes that another entry exists.
-    pub fn expect_peer(&self, entry: &EntryName) {
-        let now = self.cx.timers.now();
-        self.lock().quotas.expect(now, entry);
-    }
-
-    /// Notes that another entry cannot be heard; its work no longer counts as in flight.
-    pub fn lose_peer(&self, entry: &EntryName) {
-        let now = self.cx.timers.now();
-        let mut state = self.lock();
-        if state.others.lose(entry) {
-            state.count_others(now);
-        }
-    }
-
-    /// Notes that another entry's process does not run.
-    pub fn set_peer_down(&self, entry: &EntryName) {
-        self.lose_peer(entry);
-        let now = self.cx.timers.now();
-        self.lock().quotas.set_down(now, entry);
-    }
-
-    /// Forgets another entry that has ended.
-    pub fn forget_peer(&self, entry: &EntryName) {
-        self.lose_peer(entry);
-        self.lock().quotas.forget(entry);
-    }
-
     pub(crate) const fn log_budget(&self) -> &LogBudget {
         &self.log_budget
     }
@@ -400,44 +333,6 @@
         self.lock().dispatcher.all_waiting()
     }
 
-    /// Counts a new request for `pool`, on which the budget of repeats is founded.
-    pub(crate) fn count_request(&self, pool: &PoolName) {
-        let now = self.cx.timers.now();
-        let mut state = self.lock();
-        let budget = state.budgets.entry(pool.clone()).or_default();
-        budget.count_request(now, &self.limits.load().retry);
-    }
-
-    /// Spends one repeat, when one is left.
-    pub(crate) fn try_repeat(&self, pool: &PoolName) -> bool {
-        let now = self.cx.timers.now();
-        let mut state = self.lock();
-        let entries = state.quotas.entries();
-        let budget = state.budgets.entry(pool.clone()).or_default();
-        budget.try_spend(now, &self.limits.load().retry, entries)
-    }
-
-    /// Takes a request's units from its account's quota.
-    pub(crate) fn take_quota(&self, account: &Account, demand: Demand) -> Result<(), Refusal> {
-        let Some(quota) = &account.quota else {
-            return Ok(());
-        };
-        let now = self.cx.timers.now();
-        let taken = self.lock().quotas.take(now, &account.name, quota, demand);
-        taken.map_err(|wait| {
-            let detail = format!(
-                "account {:?} asked for {} units",
-                account.name, demand.units
-            );
-            Refusal::later(Kind::QuotaExceeded, detail, wait)
-        })
-    }
-
-    /// Gives units back that a request took and no endpoint saw.
-    pub(crate) fn give_back_quota(&self, account: &AccountName, units: f64) {
-        self.lock().quotas.give_back(account, units);
-    }
-
     pub(crate) fn answered(&self, endpoint: &Endpoint, load: Option<ReportedLoad>) {
         let now = self.cx.timers.now();
         self.lock().dispatcher.answered(now, endpoint, load);
@@ -499,21 +394,6 @@
     }
 }
 
-/// What one entry tells the others.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct Usage {
-    /// Whether this is all; otherwise only what has changed.
-    pub is_whole: bool,
-    /// Requests in flight by endpoint.
-    pub in_flight: Vec<(EndpointKey, u32)>,
-    /// Units by account.
-    pub accounts: Vec<AccountUse>,
-    /// Answers in each move.
-    pub rollouts: Vec<RolloutUse>,
-    /// Endpoints that told the entry of late that they leave.
-    pub leaving: Vec<IncarnationKey>,
-}
-
 impl fmt::Debug for Entry {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Entry")
--- /dev/null
+++ b/crates/direct/src/entry/budget.rs
@@ -0,0 +1,50 @@
+//! What requests draw on: the budget of repeats and the quotas of accounts.
+
+use eelgrassramp::AccountName;
+use eelgrassramp::Kind;
+use eelgrassramp::PoolName;
+
+use super::Entry;
+use crate::deployment::Account;
+use crate::quota::Demand;
+use crate::refusal::Refusal;
+
+impl Entry {
+    /// Counts a new request for `pool`, on which the budget of repeats is founded.
+    pub(crate) fn count_request(&self, pool: &PoolName) {
+        let now = self.cx.timers.now();
+        let mut state = self.lock();
+        let budget = state.budgets.entry(pool.clone()).or_default();
+        budget.count_request(now, &self.limits.load().retry);
+    }
+
+    /// Spends one repeat, when one is left.
+    pub(crate) fn try_repeat(&self, pool: &PoolName) -> bool {
+        let now = self.cx.timers.now();
+        let mut state = self.lock();
+        let entries = state.quotas.entries();
+        let budget = state.budgets.entry(pool.clone()).or_default();
+        budget.try_spend(now, &self.limits.load().retry, entries)
+    }
+
+    /// Takes a request's units from its account's quota.
+    pub(crate) fn take_quota(&self, account: &Account, demand: Demand) -> Result<(), Refusal> {
+        let Some(quota) = &account.quota else {
+            return Ok(());
+        };
+        let now = self.cx.timers.now();
+        let taken = self.lock().quotas.take(now, &account.name, quota, demand);
+        taken.map_err(|wait| {
+            let detail = format!(
+                "account {:?} asked for {} units",
+                account.name, demand.units
+            );
+            Refusal::later(Kind::QuotaExceeded, detail, wait)
+        })
+    }
+
+    /// Gives units back that a request took and no endpoint saw.
+    pub(crate) fn give_back_quota(&self, account: &AccountName, units: f64) {
+        self.lock().quotas.give_back(account, units);
+    }
+}
--- a/crates/direct/tests/overload.rs
+++ b/crates/direct/tests/overload.rs
@@ -278,7 +278,7 @@
 
         let refused: u64 = run.by_rank.iter().map(|got| got.refused).sum();
         let held_long: u64 = run.by_rank.iter().map(|got| got.held_long).sum();
-        let on_time: u64 = run.on_time();
+        let on_time = run.on_time();
         expect_that!(held_long as f64, le(0.1 * refused as f64), "seed {seed}");
         expect_that!(on_time, ge(played(seed, 1.0).on_time()), "seed {seed}");
     }
