--- a/crates/direct/src/dispatcher.rs
+++ b/crates/direct/src/dispatcher.rs
@@ -63,8 +63,6 @@
     pub give_up_at: Monotonic,
     /// Endpoints that had it already.
     pub tried: Vec<EndpointName>,
-    /// Tokens of its prompt, which an endpoint reads before it answers; 0 when not declared.
-    pub prompt_tokens: u64,
     /// Random number from 0 to 1 that decides between versions.
     pub draw: f64,
 }
@@ -102,8 +100,6 @@
     pub route: RouteName,
     /// The endpoint.
     pub endpoint: Arc<Endpoint>,
-    /// Tokens of the request's prompt.
-    pub prompt_tokens: u64,
     /// Requests at the endpoint, this one included, as far as known.
     pub busy: u32,
     /// The endpoint's slowness as far as known.
@@ -254,13 +250,6 @@
         }
     }
 
-    /// Notes that an endpoint has read a prompt, or never will.
-    pub fn has_read(&mut self, endpoint: &Endpoint, prompt_tokens: u64) {
-        if let Some(lane) = self.lane_mut(endpoint) {
-            lane.has_read(prompt_tokens);
-        }
-    }
-
     /// Notes that an endpoint is sending parts of an answer.
     pub fn heard(&mut self, now: Monotonic, endpoint: &Endpoint) {
         if let Some(lane) = self.lane_mut(endpoint) {
--- a/crates/direct/src/dispatcher/pool.rs
+++ b/crates/direct/src/dispatcher/pool.rs
@@ -23,13 +23,6 @@
 /// How much longer an answer takes at an endpoint whose places are all taken.
 const FULL_PENALTY: f64 = 0.5;
 
-/// How much longer an answer takes to begin behind a prompt of the same length that the endpoint
-/// has not read yet.
-const UNREAD_PENALTY: f64 = 0.5;
-
-/// Tokens up to which reading a prompt does not matter for the time to the first event.
-const SHORT_PROMPT_TOKENS: u64 = 500;
-
 /// How much an endpoint in another failure domain counts as slower, for bytes between domains.
 const OTHER_DOMAIN_PENALTY: f64 = 1.1;
 
@@ -213,12 +206,12 @@
         let usable = self.prefer_own(now, usable.collect(), view);
         let best = usable
             .into_iter()
-            .map(|lane| (view.score(now, lane, ticket.prompt_tokens), lane))
+            .map(|lane| (view.score(now, lane), lane))
             .min_by(|(a, _), (b, _)| a.total_cmp(b))
             .map(|(_, lane)| lane.endpoint().name.clone())?;
         let lane = self.lanes.get_mut(&best)?;
         let avoided = lane.is_avoided(now, failures);
-        lane.start(now, ticket.prompt_tokens);
+        lane.start(now);
         if let Some(rollout) = &mut self.rollout {
             let version = &lane.endpoint().version;
             rollout.count_sent(&ticket.class.route, version);
@@ -227,7 +220,6 @@
             seq: ticket.seq,
             route: ticket.class.route.clone(),
             endpoint: Arc::clone(lane.endpoint()),
-            prompt_tokens: ticket.prompt_tokens,
             busy: lane.busy(now),
             slowness: lane.slowness(),
             others_age: lane.others_age(now),
@@ -252,16 +244,14 @@
     ///
     /// Entries prefer different ones among nearly equal endpoints, so that two of them seldom
     /// take the same free place.
-    fn score(&self, now: Monotonic, lane: &Lane, prompt_tokens: u64) -> f64 {
+    fn score(&self, now: Monotonic, lane: &Lane) -> f64 {
         let fullness = f64::from(lane.busy(now)) / f64::from(lane.slots());
         let distance = if lane.endpoint().domain.as_str() == &*self.domain {
             1.0
         } else {
             OTHER_DOMAIN_PENALTY
         };
-        let own = prompt_tokens.max(SHORT_PROMPT_TOKENS) as f64;
-        let unread = UNREAD_PENALTY * lane.unread_tokens() as f64 / own;
-        lane.slowness() * (1.0 + FULL_PENALTY * fullness + unread) * distance * lane.spread()
+        lane.slowness() * (1.0 + FULL_PENALTY * fullness) * distance * lane.spread()
     }
 }
 
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -338,11 +338,6 @@
         self.lock().dispatcher.answered(now, endpoint, load);
     }
 
-    /// Notes that an endpoint has read a prompt, or never will.
-    pub(crate) fn has_read(&self, endpoint: &Endpoint, prompt_tokens: u64) {
-        self.lock().dispatcher.has_read(endpoint, prompt_tokens);
-    }
-
     /// Notes that an endpoint is sending parts of an answer.
     pub(crate) fn heard(&self, endpoint: &Endpoint) {
         let now = self.cx.timers.now();
--- a/crates/direct/src/entry/place.rs
+++ b/crates/direct/src/entry/place.rs
@@ -74,7 +74,6 @@
         if let Ok(Ok(grant)) = self.rx.try_recv() {
             let outcome = Outcome::Neutral;
             let route = &grant.route;
-            self.entry.has_read(&grant.endpoint, grant.prompt_tokens);
             self.entry.ended(&grant.endpoint, route, outcome);
         }
     }
--- a/crates/direct/src/entry/state.rs
+++ b/crates/direct/src/entry/state.rs
@@ -102,8 +102,6 @@
             // The caller left while the place was handed over.
             let outcome = Outcome::Neutral;
             let route = &grant.route;
-            self.dispatcher
-                .has_read(&grant.endpoint, grant.prompt_tokens);
             self.dispatcher.ended(now, &grant.endpoint, route, outcome);
         }
     }
--- a/crates/direct/src/flight.rs
+++ b/crates/direct/src/flight.rs
@@ -39,8 +39,6 @@
     bytes: u64,
     is_stream: bool,
     is_over: bool,
-    /// Tokens of the prompt, until the answer began.
-    unread_tokens: u64,
     told_at: Monotonic,
     pub(crate) story: Story,
 }
@@ -57,7 +55,6 @@
             bytes: 0,
             is_stream,
             is_over: false,
-            unread_tokens: grant.prompt_tokens,
             told_at: started,
             story,
         }
@@ -73,7 +70,6 @@
         self.answered = Some(now);
         self.told_at = now;
         self.entry.answered(&self.endpoint, load);
-        self.note_read();
     }
 
     /// Counts a piece of the answer.
@@ -130,18 +126,9 @@
         ms / f64::from(self.pieces) / EVENT_MS
     }
 
-    /// Notes that the prompt no longer delays others.
-    fn note_read(&mut self) {
-        let tokens = std::mem::take(&mut self.unread_tokens);
-        if tokens > 0 {
-            self.entry.has_read(&self.endpoint, tokens);
-        }
-    }
-
     fn end(&mut self, outcome: Outcome) {
         if !self.is_over {
             self.is_over = true;
-            self.note_read();
             let route = &self.story.route;
             self.entry.ended(&self.endpoint, route, outcome);
         }
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -140,7 +140,6 @@
             start_by: arrived + self.route.objective.mul_f64(1.0 - ANSWER_SHARE),
             give_up_at: give_up_at.max(now + Duration::from_millis(20)),
             tried: self.tried.clone(),
-            prompt_tokens: self.call.prompt_tokens.unwrap_or(0),
             draw: f64::from(self.entry.draw()) / f64::from(u32::MAX),
         };
         self.entry.acquire(ticket).await
--- a/crates/direct/src/lane.rs
+++ b/crates/direct/src/lane.rs
@@ -71,8 +71,6 @@
     rank: u64,
     spread: f64,
     in_flight: u32,
-    /// Tokens of this entry's prompts that it has not answered yet.
-    unread_tokens: u64,
     /// When the last request was sent.
     sent_at: Monotonic,
     others: u32,
@@ -102,7 +100,6 @@
             spread: 1.0 + (draw % 64) as f64 / 1_000.0,
             endpoint,
             in_flight: 0,
-            unread_tokens: 0,
             sent_at: Monotonic::ZERO,
             others: 0,
             others_at: None,
@@ -185,20 +182,8 @@
         self.failures
     }
 
-    /// Returns the tokens of this entry's prompts that the endpoint has not answered yet.
-    #[must_use]
-    pub const fn unread_tokens(&self) -> u64 {
-        self.unread_tokens
-    }
-
-    /// Notes that the endpoint has read a prompt, or never will.
-    pub const fn has_read(&mut self, prompt_tokens: u64) {
-        self.unread_tokens = self.unread_tokens.saturating_sub(prompt_tokens);
-    }
-
     /// Counts a dispatch.
-    pub const fn start(&mut self, now: Monotonic, prompt_tokens: u64) {
-        self.unread_tokens = self.unread_tokens.saturating_add(prompt_tokens);
+    pub const fn start(&mut self, now: Monotonic) {
         if self.in_flight == 0 {
             self.sent_at = now;
         }
--- a/crates/direct/tests/dispatcher.rs
+++ b/crates/direct/tests/dispatcher.rs
@@ -65,7 +65,6 @@
         start_by: arrived + Duration::from_millis(300),
         give_up_at: arrived + Duration::from_secs(2),
         tried: Vec::new(),
-        prompt_tokens: 0,
         draw: 0.5,
     }
 }
--- a/crates/direct/tests/overload.rs
+++ b/crates/direct/tests/overload.rs
@@ -218,7 +218,6 @@
         start_by: arrived + Duration::from_millis(OBJECTIVE_MS - WORK_MS),
         give_up_at: arrived + Duration::from_millis(PATIENCE_MS * 3 / 10),
         tried: Vec::new(),
-        prompt_tokens: 0,
         draw,
     }
 }
