Refused callers come back when what was turned away of late would be served

Change: the time follows arrivals less grants over the rate of grants of the class, with the bounds of before. The test failed before (mean under 2 s at three times the load).

--- a/crates/direct/src/dispatcher.rs
+++ b/crates/direct/src/dispatcher.rs
@@ -220,7 +220,8 @@
             return Placed::Refused(retry_at(now, opens_at, &ticket));
         }
         if now + estimate > ticket.give_up_at {
-            return Placed::Refused(retry_after(estimate, &ticket));
+            let wait = pool.line.time_to_catch_up(now, &class).max(estimate);
+            return Placed::Refused(retry_after(wait, &ticket));
         }
         let waiting = Waiting {
             seq: ticket.seq,
@@ -281,9 +282,7 @@
                 continue;
             }
             for waiting in pool.line.take_expired(now) {
-                let waited = now.since(waiting.arrived);
-                let wait = retry_after(waited, &waiting.item);
-                wakes.push(Wake::Expired(waiting.seq, wait));
+                wakes.push(pool.expired(now, &waiting));
             }
             if let Some(opens_at) = pool.paused_until(now) {
                 for waiting in pool.line.take_expired(opens_at) {
@@ -293,9 +292,7 @@
             }
             pool.hand_out(now, &self.view, &mut wakes);
             for waiting in pool.line.take_hopeless(now) {
-                let wait = pool.line.time_to_serve(now, &waiting.item.class);
-                let wait = retry_after(wait.max(now.since(waiting.arrived)), &waiting.item);
-                wakes.push(Wake::Expired(waiting.seq, wait));
+                wakes.push(pool.expired(now, &waiting));
             }
         }
         wakes
--- a/crates/direct/src/dispatcher/pool.rs
+++ b/crates/direct/src/dispatcher/pool.rs
@@ -11,11 +11,13 @@
 use super::Grant;
 use super::Ticket;
 use super::Wake;
+use super::retry_after;
 use crate::endpoint::Endpoint;
 use crate::lane::Lane;
 use crate::lane::Outcome;
 use crate::line::Class;
 use crate::line::Line;
+use crate::line::Waiting;
 use crate::rollout::Report;
 use crate::rollout::Rollout;
 use crate::rollout::Side;
@@ -81,6 +83,14 @@
         until.filter(|until| *until > now)
     }
 
+    /// Tells a request that waited for nothing when it may come back.
+    pub(super) fn expired(&self, now: Monotonic, waiting: &Waiting<Ticket>) -> Wake {
+        let ticket = &waiting.item;
+        let wait = self.line.time_to_catch_up(now, &ticket.class);
+        let wait = wait.max(now.since(waiting.arrived));
+        Wake::Expired(waiting.seq, retry_after(wait, ticket))
+    }
+
     pub(super) fn median_slowness(&self) -> f64 {
         let mut all: Vec<f64> = self.lanes.values().map(Lane::slowness).collect();
         all.sort_by(f64::total_cmp);
--- a/crates/direct/src/line.rs
+++ b/crates/direct/src/line.rs
@@ -25,6 +25,12 @@
 /// They are served only while none waits that still can be; more of them would wait for nothing.
 const LATE_SHARE: f64 = 0.1;
 
+/// Rate of grants that is reckoned with at least.
+const MIN_GRANTS_PER_SECOND: f64 = 0.1;
+
+/// Longest wait that is estimated.
+const MAX_ESTIMATE: Duration = Duration::from_mins(1);
+
 /// Requests that a class may have waiting before its estimate of the wait is used.
 const UNESTIMATED_LENGTH: usize = 4;
 
@@ -136,6 +142,12 @@
         }
     }
 
+    /// Returns the time in which so many requests are served at the rate of late.
+    fn time_for(&self, now: Monotonic, requests: f64) -> Duration {
+        let seconds = requests / self.grants.per_second(now).max(MIN_GRANTS_PER_SECOND);
+        Duration::from_secs_f64(seconds.min(MAX_ESTIMATE.as_secs_f64()))
+    }
+
     fn share_served(&self, now: Monotonic) -> f64 {
         let arrivals = self.arrivals.at(now);
         if arrivals < 1.0 {
@@ -292,11 +304,19 @@
     /// Returns the time in which all that waits of a class is served at its rate of late.
     #[must_use]
     pub fn time_to_serve(&self, now: Monotonic, class: &Class) -> Duration {
+        let line = self.classes.get(class);
+        line.map_or(Duration::ZERO, |line| line.time_for(now, line.len() as f64))
+    }
+
+    /// Returns the time in which all that waits of a class, and what was turned away of late and
+    /// comes back, is served at its rate of late.
+    #[must_use]
+    pub fn time_to_catch_up(&self, now: Monotonic, class: &Class) -> Duration {
         let Some(line) = self.classes.get(class) else {
             return Duration::ZERO;
         };
-        let seconds = line.len() as f64 / line.grants.per_second(now).max(0.1);
-        Duration::from_secs_f64(seconds.min(60.0))
+        let unserved = line.arrivals.at(now) - line.grants.at(now);
+        line.time_for(now, unserved.max(line.len() as f64))
     }
 
     /// Returns how many requests wait.
--- a/crates/direct/tests/overload.rs
+++ b/crates/direct/tests/overload.rs
@@ -57,6 +57,8 @@
     refused: u64,
     /// Longest time after which a refusal came.
     held_ms: u64,
+    /// Sum of the times after which refused callers were asked to come back.
+    return_ms: u64,
     /// Refusals that came only after the answer was due.
     held_long: u64,
 }
@@ -128,7 +130,7 @@
         ticket.give_up_at = at(ms + self.give_up_ms);
         match self.dispatcher.enter(at(ms), ticket) {
             Placed::Granted(grant) => self.begin(ms, grant),
-            Placed::Refused(_) => self.refuse(ms, seq),
+            Placed::Refused(wait) => self.refuse(ms, seq, wait),
             Placed::Waits => {}
         }
     }
@@ -137,10 +139,11 @@
         self.ends.insert((ms + WORK_MS, grant.seq), grant);
     }
 
-    fn refuse(&mut self, ms: u64, seq: u64) {
+    fn refuse(&mut self, ms: u64, seq: u64, wait: Duration) {
         let (asked, rank) = self.asked[&seq];
         let got = &mut self.by_rank[rank];
         got.refused += 1;
+        got.return_ms += u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
         got.held_ms = got.held_ms.max(ms - asked);
         got.held_long += u64::from(ms - asked > OBJECTIVE_MS);
     }
@@ -177,7 +180,7 @@
             for wake in wakes {
                 match wake {
                     Wake::Granted(_, grant) => self.begin(ms, grant),
-                    Wake::Expired(seq, _) => self.refuse(ms, seq),
+                    Wake::Expired(seq, wait) => self.refuse(ms, seq, wait),
                 }
             }
         }
@@ -267,6 +270,22 @@
     }
 }
 
+/// A caller that comes back into the same overload is only refused again.
+#[gtest]
+fn callers_come_back_later_the_less_of_their_class_is_served() {
+    for seed in 0..5 {
+        let mean = |load| {
+            let got = played(seed, load).by_rank[2];
+            got.return_ms as f64 / got.refused.max(1) as f64
+        };
+
+        let (slight, heavy) = (mean(1.2), mean(3.0));
+
+        expect_that!(heavy, gt(slight), "seed {seed}");
+        expect_that!(heavy, ge(2_000.0), "seed {seed}");
+    }
+}
+
 /// Callers with much patience are not kept waiting for what cannot come.
 #[gtest]
 fn who_cannot_be_served_in_time_is_not_held_for_long() {
