--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -94,6 +94,7 @@
 
 /// How new the tables and endpoints are that an entry holds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Freshness {
     /// Version of the tables.
     pub tables: u64,
@@ -101,6 +102,18 @@
     pub endpoints: u64,
 }
 
+impl Freshness {
+    /// Leaves out of `snapshot`, which is this new, what `other` holds already.
+    fn newer_than(self, other: Self, snapshot: Snapshot) -> Snapshot {
+        Snapshot {
+            tables: snapshot.tables.filter(|_| self.tables > other.tables),
+            endpoints: snapshot
+                .endpoints
+                .filter(|_| self.endpoints > other.endpoints),
+        }
+    }
+}
+
 /// Tables and endpoints in the form in which the platform keeps them.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -332,7 +345,8 @@
         let heard = self.hear(theirs);
         if heard.is_newer && self.is_lagging() {
             self.lag.note_asked(self.entry.cx().timers.now());
-            let snapshot: Snapshot = link.call(SNAPSHOT_PATH, Bytes::new()).await?;
+            let held = encode(&self.snapshots.freshness())?;
+            let snapshot: Snapshot = link.call(SNAPSHOT_PATH, held).await?;
             self.snapshots.adopt(snapshot)?;
         }
         if heard.is_empty && self.is_to_give() {
--- a/crates/direct/src/exchange/answering.rs
+++ b/crates/direct/src/exchange/answering.rs
@@ -26,6 +26,7 @@
 use tokio::net::TcpStream;
 
 use super::Exchange;
+use super::Freshness;
 use super::GIVE_PATH;
 use super::MAX_MESSAGE_BYTES;
 use super::MIN_PERIOD;
@@ -87,7 +88,7 @@
         };
         let answer = match path.as_str() {
             USAGE_PATH => self.answer_usage(&body.to_bytes(), told),
-            SNAPSHOT_PATH => self.snapshots.export().and_then(|s| encode(&s)),
+            SNAPSHOT_PATH => self.export(&body.to_bytes()),
             GIVE_PATH => self.take(&body.to_bytes()),
             _ => return status_only(StatusCode::NOT_FOUND),
         };
@@ -118,6 +119,13 @@
         encode(&UsageWire::of(&self.entry, freshness, &mut told))
     }
 
+    /// Returns what is newer than what the asking entry says that it holds.
+    fn export(&self, body: &[u8]) -> Result<Bytes> {
+        let held: Freshness = decode(body)?;
+        let own = self.snapshots.freshness();
+        encode(&own.newer_than(held, self.snapshots.export()?))
+    }
+
     fn take(&self, body: &[u8]) -> Result<Bytes> {
         self.snapshots.adopt(decode(body)?)?;
         encode(&Taken)
--- a/crates/direct/tests/dispatcher.rs
+++ b/crates/direct/tests/dispatcher.rs
@@ -294,3 +294,25 @@
 
     expect_that!(grants.count(), eq(SLOTS as usize));
 }
+
+/// Bytes between failure domains are dear, and entries of one domain hear of each other soonest.
+#[gtest]
+fn endpoints_of_the_own_failure_domain_come_first_and_others_take_the_rest() {
+    let own = (0..6).map(|n| endpoint(&format!("own-{n}"), "a", EndpointState::Ready));
+    let far = (0..6).map(|n| endpoint(&format!("far-{n}"), "b", EndpointState::Ready));
+    let endpoints: Vec<_> = own.chain(far).collect();
+    let mut dispatcher = dispatcher(&endpoints);
+    dispatcher.set_others(at(0), 11, &HashMap::new());
+
+    let places = u64::from(SLOTS) * 6;
+    let names: Vec<_> = (0..places + 6)
+        .filter_map(|seq| granted(dispatcher.enter(at(0), ticket(seq, 2, 0))))
+        .map(|grant| grant.endpoint.name.as_str().to_owned())
+        .collect();
+
+    let (first, rest) = names.split_at(6 * SLOTS as usize);
+    expect_that!(first, each(starts_with("own-")));
+    // Of an endpoint that others use first, both places have to be free.
+    expect_that!(rest, each(starts_with("far-")));
+    expect_that!(rest.len(), eq(6));
+}
