--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -17,7 +17,6 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
-use bytes::Bytes;
 use eelgrassramp::EntryName;
 use eelgrassramp::Error;
 use eelgrassramp::Monotonic;
