--- a/crates/direct/src/connections.rs
+++ b/crates/direct/src/connections.rs
@@ -262,7 +262,6 @@
         let owner = key.clone();
         let task = tokio::spawn(async move {
             let ended = driver.await;
-
             let mut strays = lock(&strays);
             if ended.is_err_and(|e| is_stray(&e)) && strays.len() < MAX_STRAYS {
                 strays.push(owner);
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -4,9 +4,9 @@
 mod heed;
 mod others;
 mod place;
+mod standstill;
 mod state;
 mod usage;
-mod wake;
 
 use std::collections::HashMap;
 use std::fmt;
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -43,11 +43,12 @@
 /// to one entry stay as many.
 const ENTRIES_AT_MIN_PERIOD: u32 = 50;
 
-/// Entries for each of which those of other failure domains are asked a period later.
+/// For each started group of so many entries, those of other failure domains are asked one period
+/// less often.
 const FAR_ENTRIES_PER_PERIOD: u32 = 10;
 
-/// Most periods between two questions to an entry of another failure domain, as long as there are
-/// no more entries than are asked in every period; quotas bear news that late.
+/// Most periods between two questions to an entry of another failure domain, unless there are so
+/// many entries that those of one domain have to wait longer; quotas hold with news that late.
 const MAX_FAR_PERIODS: u32 = 3;
 
 /// Periods without a question from another entry after which it is asked instead.
