--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -26,6 +26,7 @@
 use eelgrassramp::PoolName;
 use eelgrassramp::RouteName;
 use eelgrassramp::lock;
+use eelgrassramp::num::millis;
 use rand::Rng;
 use slog::info;
 use tokio::sync::Notify;
@@ -227,7 +228,7 @@
         for order in &orders {
             info!(self.cx.log, "move ordered"; "pool" => order.pool.as_str(),
                 "version" => order.target.as_str(), "ended" => ?order.ended,
-                "duration_ms" => u64::try_from(order.duration.as_millis()).unwrap_or(u64::MAX));
+                "duration_ms" => millis(order.duration));
         }
         let limits = self.limits.load().exposure;
         self.lock().dispatcher.set_orders(now, orders, limits);
--- a/crates/direct/src/journal.rs
+++ b/crates/direct/src/journal.rs
@@ -14,6 +14,7 @@
 use eelgrassramp::PoolName;
 use eelgrassramp::RouteName;
 use eelgrassramp::lock;
+use eelgrassramp::num::millis;
 use slog::debug;
 use slog::info;
 use slog::warn;
@@ -266,7 +267,3 @@
 fn rounded(x: f64) -> f64 {
     (x * 1_000.0).round() / 1_000.0
 }
-
-fn millis(d: Duration) -> u64 {
-    u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -62,29 +62,21 @@
 
     async fn next(&mut self) -> Option<Result<Frame<Bytes>>> {
         loop {
-            match self.read().await {
+            let cause = match self.read().await {
                 Ok(Some(data)) => match self.pass(data) {
-                    Ok(out) if out.is_empty() => {}
+                    Ok(out) if out.is_empty() => continue,
                     Ok(out) => return Some(Ok(Frame::data(out))),
-                    Err(e) => {
-                        if let Err(e) = self.resume(e).await {
-                            return Some(Err(e));
-                        }
-                    }
+                    Err(e) => e,
                 },
                 Ok(None) if self.is_cut_inside_an_event() => {
                     let detail = "the endpoint closed the connection inside an event";
-                    let cause = Error::new(Kind::StreamBroken, detail);
-                    if let Err(e) = self.resume(cause).await {
-                        return Some(Err(e));
-                    }
+                    Error::new(Kind::StreamBroken, detail)
                 }
                 Ok(None) => return self.end(),
-                Err(e) => {
-                    if let Err(e) = self.resume(e).await {
-                        return Some(Err(e));
-                    }
-                }
+                Err(e) => e,
+            };
+            if let Err(e) = self.resume(cause).await {
+                return Some(Err(e));
             }
         }
     }
