Cold endpoints get a bounded rate from all entries together; emptied failure domains get nothing

Ruled out: shares told between entries (news is up to 300 ms late and missing right after starts and cuts), and a write in the store for each cold endpoint.

Change: each entry works out from the list of entries which of them may send to a cold endpoint, by a hash of entry and endpoint, and how far apart; none until the list has settled for 2 s. Warm endpoints go first, and what a cold one shows does not count for its speed.

--- a/crates/direct/src/deployment.rs
+++ b/crates/direct/src/deployment.rs
@@ -138,6 +138,7 @@
 pub struct Deployment {
     version: u64,
     routes: HashMap<Box<str>, HashMap<Box<str>, Arc<Route>>>,
+    cold_rates: HashMap<PoolName, f64>,
     accounts: Vec<Arc<Account>>,
     keys: HashMap<Box<str>, Arc<Account>>,
     limits: Limits,
@@ -160,6 +161,17 @@
         by_prefix.insert(route.path_prefix.clone(), Arc::new(route));
     }
 
+    /// Sets how many requests a second an endpoint of `pool` bears while it is cold.
+    pub fn set_cold_rate(&mut self, pool: PoolName, per_second: f64) {
+        self.cold_rates.insert(pool, per_second);
+    }
+
+    /// Returns how many requests a second a cold endpoint bears, for the pools that limit them.
+    #[must_use]
+    pub const fn cold_rates(&self) -> &HashMap<PoolName, f64> {
+        &self.cold_rates
+    }
+
     /// Adds a client account with the API keys that name it.
     pub fn add_account(&mut self, account: Account, keys: impl IntoIterator<Item = Box<str>>) {
         let account = Arc::new(account);
--- a/crates/direct/src/dispatcher.rs
+++ b/crates/direct/src/dispatcher.rs
@@ -5,14 +5,17 @@
 //! to the most urgent request, and fast endpoints come first. There is no I/O here; the owner
 //! passes the time and the events. See `docs/design/platform.md`.
 
+mod cold;
 mod pool;
 mod restriction;
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrassramp::DomainName;
 use eelgrassramp::EndpointName;
 use eelgrassramp::EntryName;
 use eelgrassramp::Monotonic;
@@ -20,6 +23,7 @@
 use eelgrassramp::RouteName;
 use xxhash_rust::xxh3::xxh3_64;
 
+use self::cold::Colleagues;
 use self::pool::PoolState;
 use self::pool::View;
 pub use self::restriction::MAX_PAUSE;
@@ -122,11 +126,11 @@
 /// The pools of one entry.
 #[derive(Debug)]
 pub struct Dispatcher {
-    /// Distinguishes this entry's order of preference among equal endpoints.
-    preference: u64,
     view: View,
     pools: HashMap<PoolName, PoolState>,
     restrictions: Restrictions,
+    /// Failure domains whose endpoints get nothing.
+    emptied: BTreeSet<DomainName>,
 }
 
 impl Dispatcher {
@@ -134,32 +138,71 @@
     #[must_use]
     pub fn new(entry: &str, domain: &str) -> Self {
         Self {
-            preference: xxh3_64(entry.as_bytes()),
             view: View {
+                preference: xxh3_64(entry.as_bytes()),
                 entries: 1,
+                colleagues: Colleagues::default(),
                 domain: domain.into(),
             },
             pools: HashMap::new(),
             restrictions: Restrictions::default(),
+            emptied: BTreeSet::new(),
         }
     }
 
     /// Replaces the known endpoints; those that stay keep what was learned of them.
-    pub fn set_endpoints(&mut self, endpoints: &[Arc<Endpoint>]) {
+    pub fn set_endpoints(&mut self, now: Monotonic, endpoints: &[Arc<Endpoint>]) {
         for pool in self.pools.values_mut() {
             pool.retain(endpoints);
         }
-        let preference = self.preference;
+        let preference = self.view.preference;
         for endpoint in endpoints {
             let restriction = self.restrictions.of(IncarnationKey::from(&**endpoint));
             let is_near = endpoint.domain.as_str() == &*self.view.domain;
+            let is_emptied = self.emptied.contains(&endpoint.domain);
             let pool = self.pool_mut(&endpoint.pool);
             let slowness = pool.median_slowness();
             let lane = pool.lanes.entry(endpoint.name.clone());
-            let lane = lane
-                .or_insert_with(|| Lane::new(Arc::clone(endpoint), slowness, preference, is_near));
-            lane.update(Arc::clone(endpoint));
+            let lane = lane.or_insert_with(|| {
+                Lane::new(now, Arc::clone(endpoint), slowness, preference, is_near)
+            });
+            lane.update(now, Arc::clone(endpoint));
             lane.restrict(restriction);
+            lane.set_emptied(is_emptied);
+        }
+    }
+
+    /// Replaces the entries that share endpoints with this one.
+    pub fn set_colleagues<'a>(
+        &mut self,
+        now: Monotonic,
+        names: impl Iterator<Item = &'a EntryName>,
+    ) {
+        self.view.colleagues.set(now, names);
+    }
+
+    /// Replaces how many requests a second a cold endpoint bears, for the pools that limit them.
+    pub fn set_cold_rates(&mut self, rates: &HashMap<PoolName, f64>) {
+        for (name, pool) in &mut self.pools {
+            pool.cold_rate = rates.get(name).copied();
+        }
+        for (name, rate) in rates {
+            self.pool_mut(name).cold_rate = Some(*rate);
+        }
+    }
+
+    /// Returns the failure domains whose endpoints get nothing.
+    #[must_use]
+    pub const fn emptied(&self) -> &BTreeSet<DomainName> {
+        &self.emptied
+    }
+
+    /// Replaces the failure domains whose endpoints get nothing.
+    pub fn set_emptied(&mut self, emptied: BTreeSet<DomainName>) {
+        self.emptied = emptied;
+        for lane in self.pools.values_mut().flat_map(|p| p.lanes.values_mut()) {
+            let is_emptied = self.emptied.contains(&lane.endpoint().domain);
+            lane.set_emptied(is_emptied);
         }
     }
 
@@ -192,6 +235,13 @@
         pool.map_or(0, |p| p.lanes.values().filter(|l| l.is_ready(now)).count())
     }
 
+    /// Returns how many endpoints have started of late and bear little work.
+    #[must_use]
+    pub fn cold_endpoints(&self, now: Monotonic) -> usize {
+        let lanes = self.pools.values().flat_map(|p| p.lanes.values());
+        lanes.filter(|lane| lane.is_cold(now)).count()
+    }
+
     /// Returns how many requests wait for any pool.
     #[must_use]
     pub fn all_waiting(&self) -> usize {
--- a/crates/direct/src/dispatcher/pool.rs
+++ b/crates/direct/src/dispatcher/pool.rs
@@ -11,6 +11,7 @@
 use super::Grant;
 use super::Ticket;
 use super::Wake;
+use super::cold::Colleagues;
 use super::retry_after;
 use crate::endpoint::Endpoint;
 use crate::lane::Lane;
@@ -55,14 +56,20 @@
     pub(super) lanes: BTreeMap<EndpointName, Lane>,
     pub(super) line: Line<Ticket>,
     pub(super) rollout: Option<Rollout>,
+    /// Requests a second that a cold endpoint bears; `None` when they are not limited.
+    pub(super) cold_rate: Option<f64>,
     faded_at: Monotonic,
 }
 
 /// What is the same for all pools of an entry.
 #[derive(Debug)]
 pub(super) struct View {
+    /// Distinguishes this entry's order of preference among equal endpoints.
+    pub(super) preference: u64,
     /// Entries that share the endpoints, this one included.
     pub(super) entries: u32,
+    /// The entries that are known, heard or not.
+    pub(super) colleagues: Colleagues,
     /// The entry's failure domain.
     pub(super) domain: Box<str>,
 }
@@ -195,6 +202,16 @@
         Some(Wake::Granted(ticket.seq, grant))
     }
 
+    /// Tells whether this entry may send one more request to an endpoint that may be cold.
+    fn bears_more(&self, now: Monotonic, lane: &Lane, view: &View) -> bool {
+        let Some(rate) = self.cold_rate.filter(|_| lane.is_cold(now)) else {
+            return true;
+        };
+        let (own, name) = (view.preference, &lane.endpoint().name);
+        let interval = view.colleagues.interval(now, own, name, rate);
+        interval.is_some_and(|interval| lane.has_rested(now, interval))
+    }
+
     /// Chooses the endpoint that is predicted to answer first among those with a free place.
     pub(super) fn place(&mut self, now: Monotonic, ticket: &Ticket, view: &View) -> Option<Grant> {
         let failures = self.mean_failures();
@@ -212,8 +229,9 @@
             .filter(|lane| is_meant(lane))
             .filter(|lane| !ticket.tried.contains(&lane.endpoint().name))
             .filter(|lane| lane.has_place(now, extra))
+            .filter(|lane| self.bears_more(now, lane, view))
             .filter(|lane| !(is_trusted && avoided(lane)));
-        let usable = self.prefer_own(now, usable.collect(), view);
+        let usable = self.prefer_own(now, prefer_warm(now, usable.collect()), view);
         let best = usable
             .into_iter()
             .map(|lane| (view.score(now, lane), lane))
@@ -265,6 +283,12 @@
     }
 }
 
+/// Leaves cold endpoints out as long as there is any other.
+fn prefer_warm(now: Monotonic, usable: Vec<&Lane>) -> Vec<&Lane> {
+    let (cold, warm): (Vec<_>, Vec<_>) = usable.into_iter().partition(|lane| lane.is_cold(now));
+    if warm.is_empty() { cold } else { warm }
+}
+
 fn extra_places(ticket: &Ticket) -> u32 {
     let rank = usize::try_from(ticket.class.urgency.route).unwrap_or(usize::MAX);
     EXTRA_PLACES.get(rank).copied().unwrap_or(0)
--- a/crates/direct/src/dispatcher/restriction.rs
+++ b/crates/direct/src/dispatcher/restriction.rs
@@ -166,9 +166,15 @@
     /// Tells whether new work may be sent to the endpoint.
     #[must_use]
     pub fn takes_work(&self, now: Monotonic, endpoint: &Endpoint) -> bool {
-        self.restrictions
-            .of(IncarnationKey::from(endpoint))
-            .allows(now)
+        let restriction = self.restrictions.of(IncarnationKey::from(endpoint));
+        restriction.allows(now) && !self.emptied.contains(&endpoint.domain)
+    }
+
+    /// Notes that an endpoint said that it stays cold for `left`.
+    pub fn note_cold(&mut self, now: Monotonic, endpoint: &Endpoint, left: Duration) {
+        if let Some(lane) = self.lane_mut(endpoint) {
+            lane.set_cold(now + left);
+        }
     }
 
     /// Returns how many endpoints leave, and how many others wait for a pause to end.
--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::net::IpAddr;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use eelgrassramp::DomainName;
 use eelgrassramp::EndpointName;
@@ -21,6 +22,15 @@
     Draining,
 }
 
+/// What an endpoint announced of the time after its start in which it bears little work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ColdStart {
+    /// Time that is left, from the announcement on.
+    pub left: Duration,
+    /// Tells one announcement from an earlier one.
+    pub revision: u64,
+}
+
 /// One incarnation of an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Endpoint {
@@ -41,6 +51,8 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: EndpointState,
+    /// How long it stays cold; `None` when it is warm.
+    pub cold: Option<ColdStart>,
 }
 
 impl Endpoint {
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -198,6 +198,9 @@
         if version <= before {
             return false;
         }
+        self.lock()
+            .dispatcher
+            .set_cold_rates(deployment.cold_rates());
         self.deployment.store(Some(Arc::new(deployment)));
         self.has_tables.notify_waiters();
         info!(self.cx.log, "tables in force"; "version" => version, "before" => before);
@@ -216,7 +219,8 @@
 
     fn use_endpoints(&self, endpoints: Vec<Arc<Endpoint>>) {
         self.log_changes(&endpoints);
-        self.lock().dispatcher.set_endpoints(&endpoints);
+        let now = self.cx.timers.now();
+        self.lock().dispatcher.set_endpoints(now, &endpoints);
         self.connections.sweep(&endpoints);
         self.endpoints.store(Arc::new(endpoints));
         self.pump();
--- a/crates/direct/src/entry/heed.rs
+++ b/crates/direct/src/entry/heed.rs
@@ -1,5 +1,8 @@
 //! What endpoints ask for with their answers, and what other entries were told.
 
+use std::collections::BTreeSet;
+
+use eelgrassramp::DomainName;
 use eelgrassramp::EntryName;
 use eelgrassramp::num::millis;
 use slog::info;
@@ -22,6 +25,26 @@
         if let Some(pause) = head.pause {
             self.pause(endpoint, pause);
         }
+        if let Some(left) = head.cold {
+            let now = self.cx.timers.now();
+            self.lock().dispatcher.note_cold(now, endpoint, left);
+        }
+    }
+
+    /// Takes in the failure domains that the operator wants to get nothing.
+    pub fn set_emptied(&self, emptied: BTreeSet<DomainName>) {
+        let mut state = self.lock();
+        let before = state.dispatcher.emptied().clone();
+        state.dispatcher.set_emptied(emptied.clone());
+        drop(state);
+        for domain in emptied.difference(&before) {
+            info!(self.cx.log, "failure domain emptied, its endpoints get nothing more";
+                "domain" => domain.as_str());
+        }
+        for domain in before.difference(&emptied) {
+            info!(self.cx.log, "failure domain in use again"; "domain" => domain.as_str());
+        }
+        self.pump();
     }
 
     /// Tells whether new work may still be sent to an endpoint that was chosen.
--- a/crates/direct/src/entry/state.rs
+++ b/crates/direct/src/entry/state.rs
@@ -50,6 +50,10 @@
         let (leaving, paused) = self.dispatcher.restricted(now);
         gauges.push(Gauge::new("endpoints_leaving", leaving as f64));
         gauges.push(Gauge::new("endpoints_paused", paused as f64));
+        let cold = self.dispatcher.cold_endpoints(now) as f64;
+        gauges.push(Gauge::new("endpoints_cold", cold));
+        let emptied = self.dispatcher.emptied().len() as f64;
+        gauges.push(Gauge::new("domains_emptied", emptied));
         for (pool, waiting) in self.dispatcher.waiting() {
             let waiting = waiting as f64;
             gauges.push(Gauge::with_label("waiting", "pool", pool.as_str(), waiting));
--- a/crates/direct/src/entry/usage.rs
+++ b/crates/direct/src/entry/usage.rs
@@ -63,6 +63,12 @@
         self.lock().quotas.expect(now, entry);
     }
 
+    /// Takes in the names of all other entries that may run.
+    pub fn set_colleagues<'a>(&self, names: impl Iterator<Item = &'a EntryName>) {
+        let now = self.cx.timers.now();
+        self.lock().dispatcher.set_colleagues(now, names);
+    }
+
     /// Notes that another entry cannot be heard; its work no longer counts as in flight.
     pub fn lose_peer(&self, entry: &EntryName) {
         let now = self.cx.timers.now();
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -100,9 +100,19 @@
     pub tables: u64,
     /// Revision of the list of endpoints.
     pub endpoints: u64,
+    /// Revision of the list of emptied failure domains.
+    #[serde(default)]
+    pub emptied: u64,
 }
 
 impl Freshness {
+    /// Tells whether anything of this is newer.
+    const fn is_newer_than(self, other: Self) -> bool {
+        self.tables > other.tables
+            || self.endpoints > other.endpoints
+            || self.emptied > other.emptied
+    }
+
     /// Leaves out of `snapshot`, which is this new, what `other` holds already.
     fn newer_than(self, other: Self, snapshot: Snapshot) -> Snapshot {
         Snapshot {
@@ -110,6 +120,7 @@
             endpoints: snapshot
                 .endpoints
                 .filter(|_| self.endpoints > other.endpoints),
+            emptied: snapshot.emptied.filter(|_| self.emptied > other.emptied),
         }
     }
 }
@@ -122,6 +133,9 @@
     pub tables: Option<ByteBuf>,
     /// The endpoints, when any are known.
     pub endpoints: Option<ByteBuf>,
+    /// The emptied failure domains, when they are known.
+    #[serde(default)]
+    pub emptied: Option<ByteBuf>,
 }
 
 /// Keeps what an entry read from the platform, so that others can have it.
@@ -217,6 +231,7 @@
                 before.task.abort();
             }
         }
+        self.entry.set_colleagues(known.keys());
     }
 
     /// Forgets an entry that is no longer announced once it does not run or was silent for long.
@@ -229,6 +244,7 @@
             known.remove(name);
             self.heard().remove(name);
             self.entry.forget_peer(name);
+            self.entry.set_colleagues(known.keys());
             info!(self.entry.cx().log, "entry gone"; "entry" => name.as_str());
         }
         is_over
@@ -237,7 +253,7 @@
     /// Takes in what another entry tells, and returns how it stands against this one.
     fn hear(&self, theirs: UsageWire) -> Heard {
         let own = self.snapshots.freshness();
-        let is_newer = theirs.tables > own.tables || theirs.endpoints > own.endpoints;
+        let is_newer = theirs.freshness().is_newer_than(own);
         let at = self.entry.cx().timers.now();
         if is_newer {
             self.lag.note(at, own);
--- a/crates/direct/src/exchange/message.rs
+++ b/crates/direct/src/exchange/message.rs
@@ -42,6 +42,8 @@
     /// The entry's failure domain, with the whole of what it knows.
     #[serde(default)]
     pub(super) domain: Option<DomainName>,
+    #[serde(default)]
+    emptied: u64,
 }
 
 /// Most requests in flight at one endpoint that another entry is believed to have; more would
@@ -169,6 +171,16 @@
             rollouts: usage.rollouts.into_iter().map(Into::into).collect(),
             leaving: usage.leaving,
             domain: usage.is_whole.then(|| entry.identity().domain.clone()),
+            emptied: freshness.emptied,
+        }
+    }
+
+    /// Returns how new what the entry holds is.
+    pub(super) const fn freshness(&self) -> Freshness {
+        Freshness {
+            tables: self.tables,
+            endpoints: self.endpoints,
+            emptied: self.emptied,
         }
     }
 }
--- a/crates/direct/src/lane.rs
+++ b/crates/direct/src/lane.rs
@@ -70,9 +70,14 @@
     restriction: Restriction,
     rank: u64,
     spread: f64,
+    /// Whether the operator wants its failure domain to get nothing.
+    is_emptied: bool,
+    cold_until: Monotonic,
     in_flight: u32,
+    /// Since when there have been requests in flight.
+    busy_since: Monotonic,
     /// When the last request was sent.
-    sent_at: Monotonic,
+    sent_at: Option<Monotonic>,
     others: u32,
     others_at: Option<Monotonic>,
     /// The endpoint's last report, and this entry's requests in flight when it came.
@@ -90,7 +95,14 @@
     /// `preference` distinguishes the order in which this entry prefers equal endpoints; those
     /// that are near, in its own failure domain, come before all others.
     #[must_use]
-    pub fn new(endpoint: Arc<Endpoint>, slowness: f64, preference: u64, is_near: bool) -> Self {
+    pub fn new(
+        now: Monotonic,
+        endpoint: Arc<Endpoint>,
+        slowness: f64,
+        preference: u64,
+        is_near: bool,
+    ) -> Self {
+        let cold_until = now + cold_left(&endpoint);
         let name = endpoint.name.as_str().as_bytes();
         let draw = xxh3_64(name) ^ preference;
         Self {
@@ -99,8 +111,11 @@
             rank: (xxh3_64_with_seed(name, preference) >> 1) | if is_near { 0 } else { FAR_RANK },
             spread: 1.0 + (draw % 64) as f64 / 1_000.0,
             endpoint,
+            is_emptied: false,
+            cold_until,
             in_flight: 0,
-            sent_at: Monotonic::ZERO,
+            busy_since: Monotonic::ZERO,
+            sent_at: None,
             others: 0,
             others_at: None,
             report: None,
@@ -137,10 +152,35 @@
     }
 
     /// Replaces what the registry says of the same incarnation.
-    pub fn update(&mut self, endpoint: Arc<Endpoint>) {
+    pub fn update(&mut self, now: Monotonic, endpoint: Arc<Endpoint>) {
+        if self.endpoint.cold != endpoint.cold {
+            self.set_cold(now + cold_left(&endpoint));
+        }
         self.endpoint = endpoint;
     }
 
+    /// Notes until when the endpoint is cold.
+    pub const fn set_cold(&mut self, until: Monotonic) {
+        self.cold_until = until;
+    }
+
+    /// Tells whether the endpoint has started of late and bears little work.
+    #[must_use]
+    pub fn is_cold(&self, now: Monotonic) -> bool {
+        now < self.cold_until
+    }
+
+    /// Tells whether nothing was sent for at least `interval`.
+    #[must_use]
+    pub fn has_rested(&self, now: Monotonic, interval: Duration) -> bool {
+        self.sent_at.is_none_or(|at| now.since(at) >= interval)
+    }
+
+    /// Notes whether the operator wants the endpoint's failure domain to get nothing.
+    pub const fn set_emptied(&mut self, is_emptied: bool) {
+        self.is_emptied = is_emptied;
+    }
+
     /// Takes in what the endpoint asked for.
     pub const fn restrict(&mut self, restriction: Restriction) {
         self.restriction = restriction;
@@ -149,7 +189,9 @@
     /// Tells whether the endpoint takes new work, now or after a pause that it asked for.
     #[must_use]
     pub fn is_staying(&self) -> bool {
-        self.endpoint.state == EndpointState::Ready && !self.restriction.is_leaving
+        self.endpoint.state == EndpointState::Ready
+            && !self.restriction.is_leaving
+            && !self.is_emptied
     }
 
     /// Tells whether the endpoint takes new work.
@@ -185,8 +227,9 @@
     /// Counts a dispatch.
     pub const fn start(&mut self, now: Monotonic) {
         if self.in_flight == 0 {
-            self.sent_at = now;
+            self.busy_since = now;
         }
+        self.sent_at = Some(now);
         self.in_flight += 1;
     }
 
@@ -274,7 +317,7 @@
     /// Tells whether nothing was heard for longer than `limit` although requests are in flight.
     #[must_use]
     pub fn is_stalled(&self, now: Monotonic, limit: Duration) -> bool {
-        self.in_flight > 0 && now.since(self.sent_at.max(self.heard_at)) > limit
+        self.in_flight > 0 && now.since(self.busy_since.max(self.heard_at)) > limit
     }
 
     /// Tells whether the endpoint may get one more request, `extra` beyond its places.
@@ -298,7 +341,8 @@
         self.strikes = 0;
         self.ejected_until = Monotonic::ZERO;
         self.failures -= FAILURE_SMOOTHING * self.failures;
-        if slowness.is_finite() && slowness > 0.0 {
+        let is_telling = slowness.is_finite() && slowness > 0.0;
+        if is_telling && !self.is_cold(now) {
             self.slowness += SPEED_SMOOTHING * (slowness - self.slowness);
         }
     }
@@ -314,3 +358,8 @@
         self.ejected_until = self.ejected_until.max(now + wait.min(MAX_EJECTION));
     }
 }
+
+/// Returns how long an endpoint stays cold, from its announcement on.
+fn cold_left(endpoint: &Endpoint) -> Duration {
+    endpoint.cold.map_or(Duration::ZERO, |cold| cold.left)
+}
--- a/crates/direct/src/protocol.rs
+++ b/crates/direct/src/protocol.rs
@@ -85,6 +85,8 @@
     pub is_leaving: bool,
     /// The pause that the endpoint asked for when it refused.
     pub pause: Option<Pause>,
+    /// Time for which the endpoint says that it bears little work, as it has just started.
+    pub cold: Option<Duration>,
 }
 
 impl AnswerHead {
--- /dev/null
+++ b/crates/direct/tests/cold.rs
@@ -0,0 +1,350 @@
+//! Endpoints that have just started, and failure domains that the operator empties.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassramp::DomainName;
+use eelgrassramp::EndpointName;
+use eelgrassramp::EntryName;
+use eelgrassramp::Monotonic;
+use eelgrassramp::PoolName;
+use eelgrassramp::RouteName;
+use eelgrassramp::VersionName;
+use eelgrassramp_direct::dispatcher::Dispatcher;
+use eelgrassramp_direct::dispatcher::Grant;
+use eelgrassramp_direct::dispatcher::Placed;
+use eelgrassramp_direct::dispatcher::Ticket;
+use eelgrassramp_direct::dispatcher::Wake;
+use eelgrassramp_direct::endpoint::ColdStart;
+use eelgrassramp_direct::endpoint::Endpoint;
+use eelgrassramp_direct::endpoint::EndpointState;
+use eelgrassramp_direct::lane::Outcome;
+use eelgrassramp_direct::line::Class;
+use eelgrassramp_direct::line::Urgency;
+use googletest::prelude::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const SLOTS: u32 = 16;
+
+/// Time after which a process relies on the list of entries.
+const SETTLED_MS: u64 = 2_500;
+
+/// Requests a second that all entries together may send to a cold endpoint that bears `rate`.
+fn most_in_a_second(rate: f64) -> f64 {
+    rate * 1.5 + 5.0
+}
+
+fn endpoint(name: &str, domain: &str, cold: Option<ColdStart>) -> Arc<Endpoint> {
+    Arc::new(Endpoint {
+        name: EndpointName::from(name),
+        started_ms: Some(1),
+        pool: PoolName::from("drafts"),
+        address: "10.0.0.1:80".parse().expect("the address is valid"),
+        domain: DomainName::from(domain),
+        version: VersionName::from("v1"),
+        slots: SLOTS,
+        state: EndpointState::Ready,
+        cold,
+    })
+}
+
+fn cold(name: &str, left: Duration) -> Arc<Endpoint> {
+    endpoint(name, "a", Some(ColdStart { left, revision: 1 }))
+}
+
+fn at(ms: u64) -> Monotonic {
+    Monotonic::from_millis(ms)
+}
+
+fn ticket(seq: u64, ms: u64) -> Ticket {
+    let arrived = at(ms);
+    Ticket {
+        seq,
+        pool: PoolName::from("drafts"),
+        class: Class {
+            urgency: Urgency::new(None, 0),
+            route: RouteName::from("draft"),
+        },
+        arrived,
+        start_by: arrived + Duration::from_millis(300),
+        give_up_at: arrived + Duration::from_secs(2),
+        tried: Vec::new(),
+        draw: 0.5,
+    }
+}
+
+fn entries(n: usize) -> Vec<EntryName> {
+    (0..n)
+        .map(|i| EntryName::new(format!("entry-{i}")))
+        .collect()
+}
+
+/// An entry that knows the `others` from the beginning.
+fn entry(name: &EntryName, others: &[EntryName], rate: f64) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(name.as_str(), "a");
+    dispatcher.set_cold_rates(&HashMap::from([(PoolName::from("drafts"), rate)]));
+    let others = others.iter().filter(|other| *other != name);
+    dispatcher.set_colleagues(at(0), others);
+    dispatcher
+}
+
+fn granted(placed: Placed) -> Option<Grant> {
+    match placed {
+        Placed::Granted(grant) => Some(grant),
+        Placed::Waits | Placed::Refused(_) => None,
+    }
+}
+
+/// Returns the requests that were granted a place.
+fn seqs(wakes: &[Wake]) -> Vec<u64> {
+    let granted = wakes.iter().filter_map(|wake| match wake {
+        Wake::Granted(seq, _) => Some(*seq),
+        Wake::Expired(..) => None,
+    });
+    granted.collect()
+}
+
+/// Sends requests to one cold endpoint through all of `fleet`, and returns when they were sent.
+fn play(fleet: &mut [Dispatcher], seed: u64, ms: std::ops::Range<u64>) -> Vec<u64> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut sent = Vec::new();
+    let mut in_flight: Vec<(u64, usize, Grant)> = Vec::new();
+    for (seq, ms) in ms.enumerate() {
+        let (due, rest) = in_flight.into_iter().partition(|(end, ..)| *end <= ms);
+        in_flight = rest;
+        let due: Vec<(u64, usize, Grant)> = due;
+        for (_, i, grant) in due {
+            let served = Outcome::Served { slowness: 1.0 };
+            fleet[i].ended(at(ms), &grant.endpoint, &grant.route, served);
+        }
+        let i = rng.random_range(0..fleet.len());
+        let now = ticket(seq as u64, ms);
+        let mut grants: Vec<_> = granted(fleet[i].enter(at(ms), now)).into_iter().collect();
+        grants.extend(
+            fleet[i]
+                .pump(at(ms))
+                .into_iter()
+                .filter_map(|wake| match wake {
+                    Wake::Granted(_, grant) => Some(grant),
+                    Wake::Expired(..) => None,
+                }),
+        );
+        for grant in grants {
+            sent.push(ms);
+            in_flight.push((ms + rng.random_range(20..400), i, grant));
+        }
+    }
+    sent
+}
+
+/// Returns the most that was sent in any second.
+fn busiest_second(sent: &[u64]) -> usize {
+    let within = |from: &u64| {
+        sent.iter()
+            .filter(|ms| (*from..from + 1_000).contains(ms))
+            .count()
+    };
+    sent.iter().map(within).max().unwrap_or(0)
+}
+
+#[gtest]
+fn a_cold_endpoint_gets_no_more_than_it_bears_from_all_entries_together() {
+    for (n, rate) in [
+        (1, 8.8),
+        (4, 8.8),
+        (6, 8.8),
+        (30, 8.8),
+        (100, 8.8),
+        (30, 40.0),
+        (8, 0.5),
+    ] {
+        for seed in 0..5 {
+            let names = entries(n);
+            let mut fleet: Vec<_> = names.iter().map(|name| entry(name, &names, rate)).collect();
+            for dispatcher in &mut fleet {
+                dispatcher.set_endpoints(at(0), &[cold("new", Duration::from_secs(30))]);
+            }
+
+            let sent = play(&mut fleet, seed, SETTLED_MS..SETTLED_MS + 8_000);
+
+            let most = busiest_second(&sent) as f64;
+            expect_that!(
+                most,
+                le(most_in_a_second(rate)),
+                "{n} entries, {rate}/s, seed {seed}"
+            );
+        }
+    }
+}
+
+#[gtest]
+fn a_cold_endpoint_gets_a_good_part_of_what_it_bears() {
+    for n in [1, 6, 30, 100] {
+        let names = entries(n);
+        let mut fleet: Vec<_> = names.iter().map(|name| entry(name, &names, 8.8)).collect();
+        for dispatcher in &mut fleet {
+            dispatcher.set_endpoints(at(0), &[cold("new", Duration::from_secs(30))]);
+        }
+
+        let sent = play(&mut fleet, 1, SETTLED_MS..SETTLED_MS + 8_000);
+
+        expect_that!(sent.len() as f64, ge(0.5 * 8.8 * 8.0), "{n} entries");
+    }
+}
+
+/// Entries that come and go are known to some before others.
+#[gtest]
+fn entries_that_know_different_lists_stay_within_what_is_allowed() {
+    for seed in 0..10 {
+        let names = entries(30);
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut fleet: Vec<_> = names
+            .iter()
+            .map(|name| {
+                let missing = rng.random_range(0..names.len());
+                let mut known = names.clone();
+                known.remove(missing);
+                entry(name, &known, 8.8)
+            })
+            .collect();
+        for dispatcher in &mut fleet {
+            dispatcher.set_endpoints(at(0), &[cold("new", Duration::from_secs(30))]);
+        }
+
+        let sent = play(&mut fleet, seed, SETTLED_MS..SETTLED_MS + 8_000);
+
+        let most = busiest_second(&sent) as f64;
+        expect_that!(most, le(most_in_a_second(8.8)), "seed {seed}");
+    }
+}
+
+#[gtest]
+fn a_process_that_does_not_know_the_others_yet_leaves_cold_endpoints_alone() {
+    let mut dispatcher = Dispatcher::new("entry-1", "a");
+    dispatcher.set_cold_rates(&HashMap::from([(PoolName::from("drafts"), 8.8)]));
+    dispatcher.set_endpoints(at(0), &[cold("new", Duration::from_secs(30))]);
+
+    let unlisted = granted(dispatcher.enter(at(5_000), ticket(1, 5_000)));
+    dispatcher.leave(&ticket(1, 5_000));
+    dispatcher.set_colleagues(at(5_000), std::iter::empty());
+    let just_listed = granted(dispatcher.enter(at(5_100), ticket(2, 5_100)));
+    let settled = seqs(&dispatcher.pump(at(7_090)));
+
+    expect_that!(unlisted.is_some(), eq(false));
+    expect_that!(just_listed.is_some(), eq(false));
+    expect_that!(settled, elements_are![eq(&2)]);
+}
+
+#[gtest]
+fn a_warm_endpoint_goes_before_a_cold_one() {
+    let mut dispatcher = entry(&EntryName::from("entry-0"), &[], 8.8);
+    let warm = endpoint("warm", "a", None);
+    dispatcher.set_endpoints(at(0), &[cold("new", Duration::from_secs(30)), warm]);
+
+    let grants = (0..u64::from(SLOTS)).filter_map(|seq| {
+        let grant = granted(dispatcher.enter(at(3_000), ticket(seq, 3_000)));
+        grant.map(|g| g.endpoint.name.as_str().to_owned())
+    });
+
+    expect_that!(grants.collect::<Vec<_>>(), each(eq("warm")));
+}
+
+#[gtest]
+fn an_endpoint_is_warm_once_it_says_so_or_its_time_is_over() {
+    let mut dispatcher = entry(&EntryName::from("entry-0"), &[], 0.1);
+    let fill = |dispatcher: &mut Dispatcher, ms, first: u64| {
+        let tickets: Vec<_> = (first..first + 4).map(|seq| ticket(seq, ms)).collect();
+        let entered = tickets.iter().map(|t| dispatcher.enter(at(ms), t.clone()));
+        let grants = entered.filter_map(granted).count();
+        for ticket in &tickets {
+            dispatcher.leave(ticket);
+        }
+        grants
+    };
+    dispatcher.set_endpoints(at(0), &[cold("new", Duration::from_secs(4))]);
+
+    let while_cold = fill(&mut dispatcher, 3_000, 0);
+    let when_over = fill(&mut dispatcher, 6_000, 10);
+    dispatcher.set_endpoints(at(6_000), &[endpoint("again", "a", None)]);
+    let another = fill(&mut dispatcher, 6_100, 20);
+
+    expect_that!(while_cold, le(1));
+    expect_that!(when_over, eq(4));
+    expect_that!(another, eq(4));
+}
+
+/// A listing brings an announcement again that is as old as before.
+#[gtest]
+fn an_announcement_that_was_known_already_makes_nothing_cold_again() {
+    let mut dispatcher = entry(&EntryName::from("entry-0"), &[], 8.8);
+    let announced = [cold("new", Duration::from_secs(4))];
+    dispatcher.set_endpoints(at(0), &announced);
+
+    dispatcher.set_endpoints(at(3_900), &announced);
+
+    expect_that!(dispatcher.cold_endpoints(at(3_950)), eq(1));
+    expect_that!(dispatcher.cold_endpoints(at(4_050)), eq(0));
+}
+
+#[gtest]
+fn an_endpoint_that_turns_cold_again_is_spared_again() {
+    let mut dispatcher = entry(&EntryName::from("entry-0"), &[], 8.8);
+    let warm = endpoint("e", "a", None);
+    dispatcher.set_endpoints(at(0), std::slice::from_ref(&warm));
+
+    let before = dispatcher.cold_endpoints(at(1_000));
+    dispatcher.note_cold(at(1_000), &warm, Duration::from_secs(2));
+    let told = dispatcher.cold_endpoints(at(1_500));
+    let after = dispatcher.cold_endpoints(at(3_500));
+
+    expect_that!((before, told, after), eq((0, 1, 0)));
+}
+
+fn emptied(names: &[&str]) -> BTreeSet<DomainName> {
+    names.iter().map(|name| DomainName::from(*name)).collect()
+}
+
+#[gtest]
+fn an_emptied_failure_domain_gets_nothing_until_it_is_taken_back() {
+    let mut dispatcher = entry(&EntryName::from("entry-0"), &[], 8.8);
+    let both = [endpoint("near", "a", None), endpoint("far", "b", None)];
+    dispatcher.set_endpoints(at(0), &both);
+    let domains_of = |dispatcher: &mut Dispatcher, ms| {
+        let grants = (0..8).filter_map(|seq| granted(dispatcher.enter(at(ms), ticket(seq, ms))));
+        let domains = grants.map(|g| g.endpoint.domain.as_str().to_owned());
+        domains.collect::<BTreeSet<_>>()
+    };
+
+    dispatcher.set_emptied(emptied(&["a"]));
+    let while_emptied = domains_of(&mut dispatcher, 100);
+    let is_sent = dispatcher.takes_work(at(100), &both[0]);
+    dispatcher.set_emptied(emptied(&[]));
+    let taken_back = domains_of(&mut dispatcher, 200);
+
+    expect_that!(while_emptied, unordered_elements_are![eq("b")]);
+    expect_that!(is_sent, eq(false));
+    expect_that!(taken_back, contains(eq("a")));
+}
+
+#[gtest]
+fn an_endpoint_that_is_announced_in_an_emptied_domain_gets_nothing() {
+    let mut dispatcher = entry(&EntryName::from("entry-0"), &[], 8.8);
+    dispatcher.set_emptied(emptied(&["a"]));
+
+    dispatcher.set_endpoints(at(0), &[endpoint("late", "a", None)]);
+    let grant = granted(dispatcher.enter(at(100), ticket(1, 100)));
+    let waiting = dispatcher.all_waiting();
+    dispatcher.set_emptied(emptied(&["b"]));
+    let wakes = dispatcher.pump(at(200));
+
+    expect_that!(grant.is_some(), eq(false));
+    expect_that!(waiting, eq(1));
+    expect_that!(
+        wakes,
+        elements_are![matches_pattern!(Wake::Granted(eq(&1), _))]
+    );
+}
--- a/crates/direct/tests/dispatcher.rs
+++ b/crates/direct/tests/dispatcher.rs
@@ -35,6 +35,7 @@
         version: VersionName::from("v1"),
         slots: SLOTS,
         state,
+        cold: None,
     })
 }
 
@@ -44,7 +45,7 @@
 
 fn dispatcher(endpoints: &[Arc<Endpoint>]) -> Dispatcher {
     let mut dispatcher = Dispatcher::new("entry-1", "a");
-    dispatcher.set_endpoints(endpoints);
+    dispatcher.set_endpoints(at(0), endpoints);
     dispatcher
 }
 
@@ -149,7 +150,8 @@
 #[gtest]
 fn a_draining_endpoint_gets_nothing_and_what_waited_goes_elsewhere() {
     let mut dispatcher = dispatcher(&[ready("a")]);
-    dispatcher.set_endpoints(&[endpoint("a", "a", EndpointState::Draining), ready("b")]);
+    let announced = [endpoint("a", "a", EndpointState::Draining), ready("b")];
+    dispatcher.set_endpoints(at(0), &announced);
 
     let grant = granted(dispatcher.enter(at(0), ticket(1, 0, 0)));
 
@@ -287,7 +289,7 @@
     let old = granted(dispatcher.enter(at(0), ticket(1, 2, 0))).expect("a place is free");
     let mut moved = (*ready("a")).clone();
     moved.started_ms = Some(2);
-    dispatcher.set_endpoints(&[Arc::new(moved)]);
+    dispatcher.set_endpoints(at(0), &[Arc::new(moved)]);
 
     end(&mut dispatcher, 10, &old, Outcome::Silent);
     let grants = (2..5).filter_map(|seq| granted(dispatcher.enter(at(20), ticket(seq, 2, 20))));
--- a/crates/direct/tests/overload.rs
+++ b/crates/direct/tests/overload.rs
@@ -85,7 +85,7 @@
     fn new(seed: u64) -> Self {
         let mut dispatcher = Dispatcher::new("entry-1", "a");
         let endpoints: Vec<_> = (0..ENDPOINTS).map(endpoint).collect();
-        dispatcher.set_endpoints(&endpoints);
+        dispatcher.set_endpoints(at(0), &endpoints);
         Self {
             rng: StdRng::seed_from_u64(seed),
             dispatcher,
@@ -205,6 +205,7 @@
         version: VersionName::from("v1"),
         slots: SLOTS,
         state: EndpointState::Ready,
+        cold: None,
     })
 }
 
--- a/crates/direct/tests/registry.rs
+++ b/crates/direct/tests/registry.rs
@@ -23,6 +23,7 @@
         version: VersionName::from("v1"),
         slots: 4,
         state,
+        cold: None,
     }
 }
 
