Why answers are late: first piece, longest pause and cause in the log and the metrics page

Change: the last line of an answered request and the page by route tell the time to the first piece, the longest pause and one cause of lateness (came back, sent again, waited, read late, paused). Lines and counters only; the price of the lines is bounded by their budget as before.

--- a/crates/direct/src/deployment.rs
+++ b/crates/direct/src/deployment.rs
@@ -37,6 +37,8 @@
     pub timeout: Duration,
     /// Time within which an answer, or the first event of a stream, is on time.
     pub objective: Duration,
+    /// Longest pause between two events of a stream that is on time.
+    pub pause: Option<Duration>,
     /// Most endpoints that may run one request.
     pub max_attempts: u32,
     /// Urgency; 0 is the most urgent.
--- a/crates/direct/src/flight.rs
+++ b/crates/direct/src/flight.rs
@@ -13,6 +13,8 @@
 use crate::journal::Ending;
 use crate::journal::Story;
 use crate::lane::Outcome;
+use crate::lateness::Aim;
+use crate::lateness::Course;
 
 /// Time between two events at slowness 1, in milliseconds.
 const EVENT_MS: f64 = 15.0;
@@ -35,6 +37,9 @@
     endpoint: Arc<Endpoint>,
     started: Monotonic,
     answered: Option<Monotonic>,
+    aim: Aim,
+    course: Course,
+    last_piece: Option<Monotonic>,
     pieces: u32,
     bytes: u64,
     is_stream: bool,
@@ -44,9 +49,23 @@
 }
 
 impl Flight {
-    pub(crate) fn new(entry: Arc<Entry>, grant: &Grant, is_stream: bool, story: Story) -> Self {
+    /// Begins the dispatch of a request that `course` tells of up to now.
+    pub(crate) fn new(
+        entry: Arc<Entry>,
+        grant: &Grant,
+        is_stream: bool,
+        aim: Aim,
+        course: Course,
+        story: Story,
+    ) -> Self {
         let started = entry.cx().timers.now();
         Self {
+            aim,
+            course: Course {
+                waited: started.since(story.arrived),
+                ..course
+            },
+            last_piece: None,
             entry,
             endpoint: Arc::clone(&grant.endpoint),
             started,
@@ -77,6 +96,13 @@
         self.pieces += 1;
         self.bytes += n;
         let now = self.entry.cx().timers.now();
+        match self.last_piece.replace(now) {
+            None => self.course.first_piece = now.since(self.story.arrived),
+            Some(before) => {
+                let pause = now.since(before);
+                self.course.longest_pause = self.course.longest_pause.max(pause);
+            }
+        }
         if now.since(self.told_at) > TELL_PERIOD {
             self.told_at = now;
             self.entry.heard(&self.endpoint);
@@ -88,6 +114,11 @@
         if self.is_over {
             return;
         }
+        if self.last_piece.is_none() {
+            // An answer without a body has come with its head.
+            let now = self.entry.cx().timers.now();
+            self.course.first_piece = now.since(self.story.arrived);
+        }
         let outcome = if is_failure {
             Outcome::Failed
         } else {
@@ -102,6 +133,8 @@
             Ending::Answered {
                 bytes: self.bytes,
                 pieces: self.pieces,
+                course: self.course,
+                lateness: self.course.lateness(self.aim),
             }
         };
         self.story.ended(&self.entry, &self.endpoint, ending);
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -31,6 +31,8 @@
 use crate::events::EventSplitter;
 use crate::flight::Flight;
 use crate::journal::Story;
+use crate::lateness::Aim;
+use crate::lateness::Course;
 use crate::line::Class;
 use crate::line::Urgency;
 use crate::protocol::AnswerHead;
@@ -182,7 +184,16 @@
         let is_stream = matches!(self.route.kind, RouteKind::Streaming { .. });
         let story = self.story.clone();
         let entry = Arc::clone(&self.entry);
-        let mut flight = Flight::new(entry, grant, is_stream, story);
+        let aim = Aim {
+            objective: self.route.objective,
+            pause: self.route.pause.filter(|_| is_stream),
+        };
+        let course = Course {
+            waited_before: self.waited_before,
+            earlier_sends: self.sends,
+            ..Course::default()
+        };
+        let mut flight = Flight::new(entry, grant, is_stream, aim, course, story);
         let result = self.exchange(grant, &mut flight).await;
         match result {
             Ok((resp, head, connection)) => Ok(self.accept(resp, head, connection, flight)),
--- a/crates/direct/src/journal.rs
+++ b/crates/direct/src/journal.rs
@@ -22,6 +22,8 @@
 use crate::dispatcher::Grant;
 use crate::endpoint::Endpoint;
 use crate::entry::Entry;
+use crate::lateness::Course;
+use crate::lateness::Lateness;
 use crate::meters::Labels;
 
 /// Lines a second about requests that were sent, and as many about requests that ended.
@@ -143,6 +145,10 @@
         bytes: u64,
         /// Pieces in which it came.
         pieces: u32,
+        /// When the pieces came.
+        course: Course,
+        /// Why it was late.
+        lateness: Option<Lateness>,
     },
     /// The endpoint's own failure was passed on.
     EndpointFailed,
@@ -233,14 +239,27 @@
         if !entry.log_budget().allows(now, LineKind::Ended) {
             return;
         }
-        let (bytes, pieces) = match ending {
-            Ending::Answered { bytes, pieces } => (bytes, pieces),
-            Ending::EndpointFailed | Ending::CallerGone => (0, 0),
+        let Ending::Answered {
+            bytes,
+            pieces,
+            course,
+            lateness,
+        } = ending
+        else {
+            debug!(entry.cx().log, "request ended";
+                "request" => &*self.id, "route" => self.route.as_str(),
+                "endpoint" => endpoint.name.as_str(), "ending" => ending.as_str(),
+                "after_ms" => millis(took));
+            return;
         };
         debug!(entry.cx().log, "request ended";
             "request" => &*self.id, "route" => self.route.as_str(),
             "endpoint" => endpoint.name.as_str(), "ending" => ending.as_str(),
-            "bytes" => bytes, "pieces" => pieces, "after_ms" => millis(took));
+            "bytes" => bytes, "pieces" => pieces, "waited_ms" => millis(course.waited),
+            "waited_before_ms" => millis(course.waited_before),
+            "first_piece_ms" => millis(course.first_piece),
+            "longest_pause_ms" => millis(course.longest_pause),
+            "late" => lateness.map(Lateness::as_str), "after_ms" => millis(took));
     }
 
     const fn labels(&self) -> Labels<'_> {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -19,6 +19,7 @@
 mod handle;
 pub mod journal;
 pub mod lane;
+pub mod lateness;
 pub mod line;
 mod meters;
 pub mod patience;
--- a/crates/direct/src/meters.rs
+++ b/crates/direct/src/meters.rs
@@ -18,6 +18,8 @@
 use hdrhistogram::Histogram;
 
 use crate::journal::Ending;
+use crate::lateness::Course;
+use crate::lateness::Lateness;
 
 /// Longest latency that a histogram tells apart, in milliseconds.
 const MAX_LATENCY_MS: u64 = 60_000;
@@ -73,14 +75,23 @@
 struct Group {
     outcomes: BTreeMap<Outcome, u64>,
     latency_ms: Histogram<u32>,
+    /// Time to the first piece of an answer; counted by route only.
+    first_piece_ms: Histogram<u32>,
+    /// Late answers by cause; counted by route only.
+    late: BTreeMap<&'static str, u64>,
 }
 
 impl Default for Group {
     fn default() -> Self {
-        let latency_ms = Histogram::new_with_max(MAX_LATENCY_MS, DIGITS);
+        let histogram = || {
+            let histogram = Histogram::new_with_max(MAX_LATENCY_MS, DIGITS);
+            histogram.expect("the bounds are constants that a histogram accepts")
+        };
         Self {
             outcomes: BTreeMap::new(),
-            latency_ms: latency_ms.expect("the bounds are constants that a histogram accepts"),
+            latency_ms: histogram(),
+            first_piece_ms: histogram(),
+            late: BTreeMap::new(),
         }
     }
 }
@@ -146,6 +157,23 @@
 
     pub(crate) fn count_end(&self, labels: Labels<'_>, ending: Ending, took: Duration) {
         self.count(labels, Outcome::Ended(ending.as_str()), Some(took));
+        if let Ending::Answered {
+            course, lateness, ..
+        } = ending
+        {
+            self.count_course(labels, course, lateness);
+        }
+    }
+
+    /// Counts when the first piece of an answer came, and why the answer was late if it was.
+    fn count_course(&self, labels: Labels<'_>, course: Course, lateness: Option<Lateness>) {
+        let ms = u64::try_from(course.first_piece.as_millis()).unwrap_or(MAX_LATENCY_MS);
+        let mut state = self.lock();
+        let group = state.group(Dimension::Route, labels.route.as_str());
+        group.first_piece_ms.saturating_record(ms);
+        if let Some(lateness) = lateness {
+            *group.late.entry(lateness.as_str()).or_default() += 1;
+        }
     }
 
     /// Counts a request that this process refused; its latency says nothing of endpoints.
@@ -240,15 +268,25 @@
             };
             line(out, name, &[(label, value), (key, reason)], count);
         }
-        for q in QUANTILES {
-            let quantile = q.to_string();
-            let labels = [(label, value), ("quantile", quantile.as_str())];
-            let ms = self.latency_ms.value_at_quantile(q);
-            line(out, "latency_ms", &labels, ms);
+        for (cause, count) in &self.late {
+            let labels = [(label, value), ("cause", *cause)];
+            line(out, "answers_late", &labels, count);
+        }
+        render_quantiles(out, "latency_ms", (label, value), &self.latency_ms);
+        if !self.first_piece_ms.is_empty() {
+            render_quantiles(out, "first_piece_ms", (label, value), &self.first_piece_ms);
         }
     }
 }
 
+fn render_quantiles(out: &mut String, name: &str, label: (&str, &str), histogram: &Histogram<u32>) {
+    for q in QUANTILES {
+        let quantile = q.to_string();
+        let labels = [label, ("quantile", quantile.as_str())];
+        line(out, name, &labels, histogram.value_at_quantile(q));
+    }
+}
+
 fn line(out: &mut String, name: &str, labels: &[(&str, &str)], value: impl std::fmt::Display) {
     let labels: Vec<_> = labels
         .iter()
