Callers of streams that would leave before their first event are refused earlier

Cause: a request waited up to 30 % of its caller's patience for a place, 3.6 s of 12 s, but callers of streams leave after a silence of 2 s, four objectives or eight pauses, whichever is longest.

--- a/crates/direct/src/deployment.rs
+++ b/crates/direct/src/deployment.rs
@@ -39,6 +39,8 @@
     pub objective: Duration,
     /// Longest pause between two events of a stream that is on time.
     pub pause: Option<Duration>,
+    /// Time without any event after which callers of a stream leave; `None` when they stay.
+    pub silence: Option<Duration>,
     /// Most endpoints that may run one request.
     pub max_attempts: u32,
     /// Urgency; 0 is the most urgent.
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -52,6 +52,10 @@
 /// Part of the caller's patience for which a request waits for a free endpoint.
 const WAIT_SHARE: f64 = 0.3;
 
+/// Part of the time for which callers bear silence that a request waits for a free endpoint; the rest
+/// is for the endpoint's first event.
+const SILENCE_SHARE: f64 = 0.7;
+
 /// Part of the objective that is kept for the endpoint to answer in.
 const ANSWER_SHARE: f64 = 0.3;
 
@@ -131,8 +135,7 @@
     async fn acquire(&self) -> Result<Grant, Refusal> {
         let now = self.entry.cx().timers.now();
         let arrived = self.story.arrived;
-        let patience = self.ends_at.since(arrived);
-        let give_up_at = arrived + patience.mul_f64(WAIT_SHARE);
+        let give_up_at = arrived + self.longest_wait();
         let ticket = Ticket {
             seq: self.entry.next_seq(),
             pool: self.pool.clone(),
@@ -150,6 +153,16 @@
         self.entry.acquire(ticket).await
     }
 
+    /// Returns how long the request may wait for a free endpoint.
+    ///
+    /// A caller that would leave before its first event is told earlier, while it can come back.
+    fn longest_wait(&self) -> Duration {
+        let patience = self.ends_at.since(self.story.arrived);
+        let wait = patience.mul_f64(WAIT_SHARE);
+        let silence = self.route.silence.map(|s| s.mul_f64(SILENCE_SHARE));
+        silence.map_or(wait, |silence| wait.min(silence))
+    }
+
     /// Decides whether the request can be sent again after a failed send.
     fn after(&mut self, grant: &Grant, failure: Failure) -> Result<(), Refusal> {
         let Failure {
