--- a/crates/direct/src/entry/heed.rs
+++ b/crates/direct/src/entry/heed.rs
@@ -32,7 +32,7 @@
     }
 
     /// Takes in the failure domains that the operator wants to get nothing.
-    pub fn set_emptied(&self, emptied: BTreeSet<DomainName>) {
+    pub fn set_emptied(&self, emptied: &BTreeSet<DomainName>) {
         let mut state = self.lock();
         let before = state.dispatcher.emptied().clone();
         state.dispatcher.set_emptied(emptied.clone());
@@ -41,7 +41,7 @@
             info!(self.cx.log, "failure domain emptied, its endpoints get nothing more";
                 "domain" => domain.as_str());
         }
-        for domain in before.difference(&emptied) {
+        for domain in before.difference(emptied) {
             info!(self.cx.log, "failure domain in use again"; "domain" => domain.as_str());
         }
         self.pump();
