--- a/crates/direct/src/dispatcher.rs
+++ b/crates/direct/src/dispatcher.rs
@@ -172,40 +172,6 @@
         }
     }
 
-    /// Replaces the entries that share endpoints with this one.
-    pub fn set_colleagues<'a>(
-        &mut self,
-        now: Monotonic,
-        names: impl Iterator<Item = &'a EntryName>,
-    ) {
-        self.view.colleagues.set(now, names);
-    }
-
-    /// Replaces how many requests a second a cold endpoint bears, for the pools that limit them.
-    pub fn set_cold_rates(&mut self, rates: &HashMap<PoolName, f64>) {
-        for (name, pool) in &mut self.pools {
-            pool.cold_rate = rates.get(name).copied();
-        }
-        for (name, rate) in rates {
-            self.pool_mut(name).cold_rate = Some(*rate);
-        }
-    }
-
-    /// Returns the failure domains whose endpoints get nothing.
-    #[must_use]
-    pub const fn emptied(&self) -> &BTreeSet<DomainName> {
-        &self.emptied
-    }
-
-    /// Replaces the failure domains whose endpoints get nothing.
-    pub fn set_emptied(&mut self, emptied: BTreeSet<DomainName>) {
-        self.emptied = emptied;
-        for lane in self.pools.values_mut().flat_map(|p| p.lanes.values_mut()) {
-            let is_emptied = self.emptied.contains(&lane.endpoint().domain);
-            lane.set_emptied(is_emptied);
-        }
-    }
-
     /// Takes in what the other entries have in flight, and how many of them were heard.
     pub fn set_others(
         &mut self,
@@ -235,13 +201,6 @@
         pool.map_or(0, |p| p.lanes.values().filter(|l| l.is_ready(now)).count())
     }
 
-    /// Returns how many endpoints have started of late and bear little work.
-    #[must_use]
-    pub fn cold_endpoints(&self, now: Monotonic) -> usize {
-        let lanes = self.pools.values().flat_map(|p| p.lanes.values());
-        lanes.filter(|lane| lane.is_cold(now)).count()
-    }
-
     /// Returns how many requests wait for any pool.
     #[must_use]
     pub fn all_waiting(&self) -> usize {
--- a/crates/direct/src/dispatcher/cold.rs
+++ b/crates/direct/src/dispatcher/cold.rs
@@ -5,14 +5,19 @@
 //! entries may send there, and how often: the first ones in an order by a hash of entry and
 //! endpoint. See `docs/design/platform.md`, "Cold endpoints".
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use eelgrassramp::EndpointName;
 use eelgrassramp::EntryName;
 use eelgrassramp::Monotonic;
+use eelgrassramp::PoolName;
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::Dispatcher;
+use crate::endpoint::Endpoint;
+
 /// Time after the other entries were first listed from which on the list is relied upon.
 ///
 /// Processes that start together announce themselves in this time.
@@ -68,3 +73,38 @@
         self.hashes.iter().filter(|h| draw(**h) < own).count()
     }
 }
+
+impl Dispatcher {
+    /// Replaces the entries that share endpoints with this one.
+    pub fn set_colleagues<'a>(
+        &mut self,
+        now: Monotonic,
+        names: impl Iterator<Item = &'a EntryName>,
+    ) {
+        self.view.colleagues.set(now, names);
+    }
+
+    /// Replaces how many requests a second a cold endpoint bears, for the pools that limit them.
+    pub fn set_cold_rates(&mut self, rates: &HashMap<PoolName, f64>) {
+        for (name, pool) in &mut self.pools {
+            pool.cold_rate = rates.get(name).copied();
+        }
+        for (name, rate) in rates {
+            self.pool_mut(name).cold_rate = Some(*rate);
+        }
+    }
+
+    /// Returns how many endpoints have started of late and bear little work.
+    #[must_use]
+    pub fn cold_endpoints(&self, now: Monotonic) -> usize {
+        let lanes = self.pools.values().flat_map(|p| p.lanes.values());
+        lanes.filter(|lane| lane.is_cold(now)).count()
+    }
+
+    /// Notes that an endpoint said that it stays cold for `left`.
+    pub fn note_cold(&mut self, now: Monotonic, endpoint: &Endpoint, left: Duration) {
+        if let Some(lane) = self.lane_mut(endpoint) {
+            lane.set_cold(now + left);
+        }
+    }
+}
--- a/crates/direct/src/dispatcher/restriction.rs
+++ b/crates/direct/src/dispatcher/restriction.rs
@@ -1,12 +1,14 @@
-//! Endpoints that asked for nothing more, because they leave or for a while.
+//! Endpoints that get nothing more: they leave, asked for a pause, or their failure domain is emptied.
 //!
 //! What an endpoint asked for belongs to its incarnation, not to its place in a pool: it holds on
 //! when the registry drops the endpoint and announces it again, and a restart ends it.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrassramp::DomainName;
 use eelgrassramp::Monotonic;
 
 use super::Dispatcher;
@@ -110,6 +112,21 @@
 }
 
 impl Dispatcher {
+    /// Returns the failure domains whose endpoints get nothing.
+    #[must_use]
+    pub const fn emptied(&self) -> &BTreeSet<DomainName> {
+        &self.emptied
+    }
+
+    /// Replaces the failure domains whose endpoints get nothing.
+    pub fn set_emptied(&mut self, emptied: BTreeSet<DomainName>) {
+        self.emptied = emptied;
+        for lane in self.pools.values_mut().flat_map(|p| p.lanes.values_mut()) {
+            let is_emptied = self.emptied.contains(&lane.endpoint().domain);
+            lane.set_emptied(is_emptied);
+        }
+    }
+
     /// Notes that an endpoint said that it leaves; tells whether that is new.
     pub fn note_leaving(&mut self, now: Monotonic, endpoint: &Endpoint) -> bool {
         let key = IncarnationKey::from(endpoint);
@@ -170,13 +187,6 @@
         restriction.allows(now) && !self.emptied.contains(&endpoint.domain)
     }
 
-    /// Notes that an endpoint said that it stays cold for `left`.
-    pub fn note_cold(&mut self, now: Monotonic, endpoint: &Endpoint, left: Duration) {
-        if let Some(lane) = self.lane_mut(endpoint) {
-            lane.set_cold(now + left);
-        }
-    }
-
     /// Returns how many endpoints leave, and how many others wait for a pause to end.
     #[must_use]
     pub fn restricted(&self, now: Monotonic) -> (usize, usize) {
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -336,21 +336,6 @@
         self.lock().rng.next_u32()
     }
 
-    /// Returns how long a caller of `route` has certainly waited before it came.
-    pub(crate) fn waited_before(&self, route: &RouteName, patience: Option<Duration>) -> Duration {
-        let now = self.cx.timers.now();
-        let Some(patience) = patience else {
-            return Duration::ZERO;
-        };
-        self.lock().patience.arrive(now, route, patience)
-    }
-
-    /// Notes that a caller of `route` was asked to come back.
-    pub(crate) fn note_return(&self, route: &RouteName) {
-        let now = self.cx.timers.now();
-        self.lock().patience.refuse(now, route);
-    }
-
     pub(crate) fn all_waiting(&self) -> usize {
         self.lock().dispatcher.all_waiting()
     }
--- a/crates/direct/src/entry/place.rs
+++ b/crates/direct/src/entry/place.rs
@@ -5,6 +5,7 @@
 
 use eelgrassramp::Kind;
 use eelgrassramp::PoolName;
+use eelgrassramp::RouteName;
 use tokio::sync::oneshot;
 
 use super::Entry;
@@ -15,6 +16,21 @@
 use crate::refusal::Refusal;
 
 impl Entry {
+    /// Returns how long a caller of `route` has certainly waited before it came.
+    pub(crate) fn waited_before(&self, route: &RouteName, patience: Option<Duration>) -> Duration {
+        let now = self.cx.timers.now();
+        let Some(patience) = patience else {
+            return Duration::ZERO;
+        };
+        self.lock().patience.arrive(now, route, patience)
+    }
+
+    /// Notes that a caller of `route` was asked to come back.
+    pub(crate) fn note_return(&self, route: &RouteName) {
+        let now = self.cx.timers.now();
+        self.lock().patience.refuse(now, route);
+    }
+
     /// Waits for an endpoint for a request.
     pub(crate) async fn acquire(self: &Arc<Self>, ticket: Ticket) -> Result<Grant, Refusal> {
         let now = self.cx.timers.now();
