--- a/crates/direct/tests/dispatcher.rs
+++ b/crates/direct/tests/dispatcher/choice.rs
@@ -4,38 +4,29 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrassramp::DomainName;
 use eelgrassramp::EndpointName;
-use eelgrassramp::Monotonic;
-use eelgrassramp::PoolName;
-use eelgrassramp::RouteName;
-use eelgrassramp::VersionName;
 use eelgrassramp_direct::dispatcher::Dispatcher;
 use eelgrassramp_direct::dispatcher::Grant;
 use eelgrassramp_direct::dispatcher::Placed;
-use eelgrassramp_direct::dispatcher::Ticket;
 use eelgrassramp_direct::dispatcher::Wake;
 use eelgrassramp_direct::endpoint::Endpoint;
 use eelgrassramp_direct::endpoint::EndpointKey;
 use eelgrassramp_direct::endpoint::EndpointState;
 use eelgrassramp_direct::lane::Outcome;
-use eelgrassramp_direct::line::Class;
-use eelgrassramp_direct::line::Urgency;
 use googletest::prelude::*;
 
+use super::fixture;
+use super::fixture::at;
+use super::fixture::granted;
+use super::fixture::seqs;
+use super::fixture::ticket;
+
 const SLOTS: u32 = 2;
 
 fn endpoint(name: &str, domain: &str, state: EndpointState) -> Arc<Endpoint> {
     Arc::new(Endpoint {
-        name: EndpointName::from(name),
-        started_ms: Some(1),
-        pool: PoolName::from("drafts"),
-        address: "10.0.0.1:80".parse().expect("the address is valid"),
-        domain: DomainName::from(domain),
-        version: VersionName::from("v1"),
-        slots: SLOTS,
         state,
-        cold: None,
+        ..fixture::endpoint(name, domain, SLOTS)
     })
 }
 
@@ -49,47 +40,10 @@
     dispatcher
 }
 
-fn at(ms: u64) -> Monotonic {
-    Monotonic::from_millis(ms)
-}
-
-fn ticket(seq: u64, rank: u32, arrived_ms: u64) -> Ticket {
-    let arrived = at(arrived_ms);
-    Ticket {
-        seq,
-        pool: PoolName::from("drafts"),
-        class: Class {
-            urgency: Urgency::new(None, rank),
-            route: RouteName::new(format!("route-{rank}")),
-        },
-        arrived,
-        start_by: arrived + Duration::from_millis(300),
-        give_up_at: arrived + Duration::from_secs(2),
-        tried: Vec::new(),
-        draw: 0.5,
-    }
-}
-
-fn granted(placed: Placed) -> Option<Grant> {
-    match placed {
-        Placed::Granted(grant) => Some(grant),
-        Placed::Waits | Placed::Refused(_) => None,
-    }
-}
-
 fn end(dispatcher: &mut Dispatcher, ms: u64, grant: &Grant, outcome: Outcome) {
     dispatcher.ended(at(ms), &grant.endpoint, &grant.route, outcome);
 }
 
-/// Returns the requests that were granted a place.
-fn seqs(wakes: &[Wake]) -> Vec<u64> {
-    let granted = wakes.iter().filter_map(|wake| match wake {
-        Wake::Granted(seq, _) => Some(*seq),
-        Wake::Expired(..) => None,
-    });
-    granted.collect()
-}
-
 const SERVED: Outcome = Outcome::Served { slowness: 1.0 };
 
 #[gtest]
--- a/crates/direct/tests/cold.rs
+++ b/crates/direct/tests/dispatcher/cold.rs
@@ -6,28 +6,26 @@
 use std::time::Duration;
 
 use eelgrassramp::DomainName;
-use eelgrassramp::EndpointName;
 use eelgrassramp::EntryName;
-use eelgrassramp::Monotonic;
 use eelgrassramp::PoolName;
-use eelgrassramp::RouteName;
-use eelgrassramp::VersionName;
 use eelgrassramp_direct::dispatcher::Dispatcher;
 use eelgrassramp_direct::dispatcher::Grant;
-use eelgrassramp_direct::dispatcher::Placed;
 use eelgrassramp_direct::dispatcher::Ticket;
 use eelgrassramp_direct::dispatcher::Wake;
 use eelgrassramp_direct::endpoint::ColdStart;
 use eelgrassramp_direct::endpoint::Endpoint;
-use eelgrassramp_direct::endpoint::EndpointState;
 use eelgrassramp_direct::lane::Outcome;
-use eelgrassramp_direct::line::Class;
-use eelgrassramp_direct::line::Urgency;
 use googletest::prelude::*;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use super::fixture;
+use super::fixture::POOL;
+use super::fixture::at;
+use super::fixture::granted;
+use super::fixture::seqs;
+
 const SLOTS: u32 = 16;
 
 /// Time after which a process relies on the list of entries.
@@ -40,15 +38,8 @@
 
 fn endpoint(name: &str, domain: &str, cold: Option<ColdStart>) -> Arc<Endpoint> {
     Arc::new(Endpoint {
-        name: EndpointName::from(name),
-        started_ms: Some(1),
-        pool: PoolName::from("drafts"),
-        address: "10.0.0.1:80".parse().expect("the address is valid"),
-        domain: DomainName::from(domain),
-        version: VersionName::from("v1"),
-        slots: SLOTS,
-        state: EndpointState::Ready,
         cold,
+        ..fixture::endpoint(name, domain, SLOTS)
     })
 }
 
@@ -56,25 +47,9 @@
     endpoint(name, "a", Some(ColdStart { left, revision: 1 }))
 }
 
-fn at(ms: u64) -> Monotonic {
-    Monotonic::from_millis(ms)
-}
-
+/// A request of the most urgent route.
 fn ticket(seq: u64, ms: u64) -> Ticket {
-    let arrived = at(ms);
-    Ticket {
-        seq,
-        pool: PoolName::from("drafts"),
-        class: Class {
-            urgency: Urgency::new(None, 0),
-            route: RouteName::from("draft"),
-        },
-        arrived,
-        start_by: arrived + Duration::from_millis(300),
-        give_up_at: arrived + Duration::from_secs(2),
-        tried: Vec::new(),
-        draw: 0.5,
-    }
+    fixture::ticket(seq, 0, ms)
 }
 
 fn entries(n: usize) -> Vec<EntryName> {
@@ -86,28 +61,12 @@
 /// An entry that knows the `others` from the beginning.
 fn entry(name: &EntryName, others: &[EntryName], rate: f64) -> Dispatcher {
     let mut dispatcher = Dispatcher::new(name.as_str(), "a");
-    dispatcher.set_cold_rates(&HashMap::from([(PoolName::from("drafts"), rate)]));
+    dispatcher.set_cold_rates(&HashMap::from([(PoolName::from(POOL), rate)]));
     let others = others.iter().filter(|other| *other != name);
     dispatcher.set_colleagues(at(0), others);
     dispatcher
 }
 
-fn granted(placed: Placed) -> Option<Grant> {
-    match placed {
-        Placed::Granted(grant) => Some(grant),
-        Placed::Waits | Placed::Refused(_) => None,
-    }
-}
-
-/// Returns the requests that were granted a place.
-fn seqs(wakes: &[Wake]) -> Vec<u64> {
-    let granted = wakes.iter().filter_map(|wake| match wake {
-        Wake::Granted(seq, _) => Some(*seq),
-        Wake::Expired(..) => None,
-    });
-    granted.collect()
-}
-
 /// Sends requests to one cold endpoint through all of `fleet`, and returns when they were sent.
 fn play(fleet: &mut [Dispatcher], seed: u64, ms: std::ops::Range<u64>) -> Vec<u64> {
     let mut rng = StdRng::seed_from_u64(seed);
@@ -225,7 +184,7 @@
 #[gtest]
 fn a_process_that_does_not_know_the_others_yet_leaves_cold_endpoints_alone() {
     let mut dispatcher = Dispatcher::new("entry-1", "a");
-    dispatcher.set_cold_rates(&HashMap::from([(PoolName::from("drafts"), 8.8)]));
+    dispatcher.set_cold_rates(&HashMap::from([(PoolName::from(POOL), 8.8)]));
     dispatcher.set_endpoints(at(0), &[cold("new", Duration::from_secs(30))]);
 
     let unlisted = granted(dispatcher.enter(at(5_000), ticket(1, 5_000)));
--- /dev/null
+++ b/crates/direct/tests/dispatcher/fixture.rs
@@ -0,0 +1,74 @@
+//! Endpoints and requests of one pool, and what became of requests.
+
+use std::time::Duration;
+
+use eelgrassramp::DomainName;
+use eelgrassramp::EndpointName;
+use eelgrassramp::Monotonic;
+use eelgrassramp::PoolName;
+use eelgrassramp::RouteName;
+use eelgrassramp::VersionName;
+use eelgrassramp_direct::dispatcher::Grant;
+use eelgrassramp_direct::dispatcher::Placed;
+use eelgrassramp_direct::dispatcher::Ticket;
+use eelgrassramp_direct::dispatcher::Wake;
+use eelgrassramp_direct::endpoint::Endpoint;
+use eelgrassramp_direct::endpoint::EndpointState;
+use eelgrassramp_direct::line::Class;
+use eelgrassramp_direct::line::Urgency;
+
+/// The pool of all endpoints and requests.
+pub const POOL: &str = "drafts";
+
+/// A warm endpoint that takes new work.
+pub fn endpoint(name: &str, domain: &str, slots: u32) -> Endpoint {
+    Endpoint {
+        name: EndpointName::from(name),
+        started_ms: Some(1),
+        pool: PoolName::from(POOL),
+        address: "10.0.0.1:80".parse().expect("the address is valid"),
+        domain: DomainName::from(domain),
+        version: VersionName::from("v1"),
+        slots,
+        state: EndpointState::Ready,
+        cold: None,
+    }
+}
+
+pub fn at(ms: u64) -> Monotonic {
+    Monotonic::from_millis(ms)
+}
+
+/// A request that is on time when it is started within 300 ms, and waits for 2 s at most.
+pub fn ticket(seq: u64, rank: u32, arrived_ms: u64) -> Ticket {
+    let arrived = at(arrived_ms);
+    Ticket {
+        seq,
+        pool: PoolName::from(POOL),
+        class: Class {
+            urgency: Urgency::new(None, rank),
+            route: RouteName::new(format!("route-{rank}")),
+        },
+        arrived,
+        start_by: arrived + Duration::from_millis(300),
+        give_up_at: arrived + Duration::from_secs(2),
+        tried: Vec::new(),
+        draw: 0.5,
+    }
+}
+
+pub fn granted(placed: Placed) -> Option<Grant> {
+    match placed {
+        Placed::Granted(grant) => Some(grant),
+        Placed::Waits | Placed::Refused(_) => None,
+    }
+}
+
+/// Returns the requests that were granted a place.
+pub fn seqs(wakes: &[Wake]) -> Vec<u64> {
+    let granted = wakes.iter().filter_map(|wake| match wake {
+        Wake::Granted(seq, _) => Some(*seq),
+        Wake::Expired(..) => None,
+    });
+    granted.collect()
+}
--- a/crates/direct/tests/overload.rs
+++ b/crates/direct/tests/dispatcher/overload.rs
@@ -6,28 +6,22 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrassramp::DomainName;
-use eelgrassramp::EndpointName;
-use eelgrassramp::Monotonic;
-use eelgrassramp::PoolName;
 use eelgrassramp::RouteName;
-use eelgrassramp::VersionName;
 use eelgrassramp_direct::dispatcher::Dispatcher;
 use eelgrassramp_direct::dispatcher::Grant;
 use eelgrassramp_direct::dispatcher::Placed;
 use eelgrassramp_direct::dispatcher::Ticket;
 use eelgrassramp_direct::dispatcher::Wake;
-use eelgrassramp_direct::endpoint::Endpoint;
-use eelgrassramp_direct::endpoint::EndpointState;
 use eelgrassramp_direct::lane::Outcome;
-use eelgrassramp_direct::line::Class;
-use eelgrassramp_direct::line::Urgency;
 use eelgrassramp_direct::patience::Patience;
 use googletest::prelude::*;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use super::fixture;
+use super::fixture::at;
+
 const ENDPOINTS: u32 = 4;
 
 const SLOTS: u32 = 4;
@@ -94,7 +88,9 @@
 impl Load {
     fn new(seed: u64) -> Self {
         let mut dispatcher = Dispatcher::new("entry-1", "a");
-        let endpoints: Vec<_> = (0..ENDPOINTS).map(endpoint).collect();
+        let endpoints: Vec<_> = (0..ENDPOINTS)
+            .map(|n| Arc::new(fixture::endpoint(&format!("i-{n}"), "a", SLOTS)))
+            .collect();
         dispatcher.set_endpoints(at(0), &endpoints);
         Self {
             rng: StdRng::seed_from_u64(seed),
@@ -236,38 +232,13 @@
     }
 }
 
-fn at(ms: u64) -> Monotonic {
-    Monotonic::from_millis(ms)
-}
-
-fn endpoint(n: u32) -> Arc<Endpoint> {
-    Arc::new(Endpoint {
-        name: EndpointName::new(format!("i-{n}")),
-        started_ms: Some(1),
-        pool: PoolName::from("drafts"),
-        address: "10.0.0.1:80".parse().expect("the address is valid"),
-        domain: DomainName::from("a"),
-        version: VersionName::from("v1"),
-        slots: SLOTS,
-        state: EndpointState::Ready,
-        cold: None,
-    })
-}
-
 fn ticket(seq: u64, rank: usize, ms: u64, draw: f64) -> Ticket {
     let arrived = at(ms);
     Ticket {
-        seq,
-        pool: PoolName::from("drafts"),
-        class: Class {
-            urgency: Urgency::new(None, u32::try_from(rank).unwrap_or(0)),
-            route: RouteName::new(format!("route-{rank}")),
-        },
-        arrived,
         start_by: arrived + Duration::from_millis(OBJECTIVE_MS - WORK_MS),
         give_up_at: arrived + Duration::from_millis(PATIENCE_MS * 3 / 10),
-        tried: Vec::new(),
         draw,
+        ..fixture::ticket(seq, u32::try_from(rank).unwrap_or(0), ms)
     }
 }
 
