--- a/crates/direct/src/patience.rs
+++ b/crates/direct/src/patience.rs
@@ -33,7 +33,7 @@
 struct Callers {
     /// Patience of those that came while nobody was coming back.
     began_with: VecDeque<Duration>,
-    /// The patience that nearly all begin with at least.
+    /// The patience that nearly all begin with at least, as of the last refusal in calm times.
     least: Option<Duration>,
     refused_at: Option<Monotonic>,
 }
@@ -48,7 +48,6 @@
             self.began_with.pop_front();
         }
         self.began_with.push_back(patience);
-        self.least = self.shortest();
     }
 
     #[expect(
@@ -90,6 +89,9 @@
     /// Notes that a caller was refused and may come back.
     pub fn refuse(&mut self, now: Monotonic, route: &RouteName) {
         if let Some(callers) = self.callers(route) {
+            if !callers.is_anyone_returning(now) {
+                callers.least = callers.shortest();
+            }
             callers.refused_at = Some(now);
         }
     }
