Dispatcher: records by incarnation in a type of their own

The bounded map with its retention and eviction stood inside the restrictions; another kind of record about endpoints needs the same.

--- a/crates/direct/src/dispatcher.rs
+++ b/crates/direct/src/dispatcher.rs
@@ -7,6 +7,7 @@
 //! time and the events. See `docs/design/platform.md`.
 
 mod cold;
+mod incarnation_records;
 mod pool;
 mod restriction;
 
--- a/crates/direct/src/dispatcher/restriction.rs
+++ b/crates/direct/src/dispatcher/restriction.rs
@@ -8,7 +8,6 @@
 //! [`EndpointState::Draining`]: crate::endpoint::EndpointState::Draining
 
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +15,7 @@
 use eelgrassramp::Monotonic;
 
 use super::Dispatcher;
+use super::incarnation_records::IncarnationRecords;
 use crate::endpoint::Endpoint;
 use crate::endpoint::IncarnationKey;
 
@@ -25,12 +25,6 @@
 /// Time during which messages to other entries list an endpoint that reported draining.
 const SHARE_DURATION: Duration = Duration::from_secs(5);
 
-/// Time after which a record is dropped; a draining endpoint has stopped by then.
-const RETENTION: Duration = Duration::from_mins(10);
-
-/// Maximum number of records; the oldest are dropped first.
-const MAX_RECORDS: usize = 8_192;
-
 /// Restriction that one incarnation of an endpoint requested.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Restriction {
@@ -51,7 +45,6 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct RestrictionRecord {
     restriction: Restriction,
-    at: Monotonic,
     /// When the endpoint itself reported to this entry that it is draining.
     reported_at: Option<Monotonic>,
 }
@@ -59,26 +52,26 @@
 /// The restrictions of all endpoints known to one entry.
 #[derive(Debug, Default)]
 pub(super) struct Restrictions {
-    records: HashMap<IncarnationKey, RestrictionRecord>,
+    records: IncarnationRecords<RestrictionRecord>,
 }
 
 impl Restrictions {
     /// Returns the restriction of an incarnation.
     pub(super) fn restriction_of(&self, key: IncarnationKey) -> Restriction {
-        let record = self.records.get(&key);
+        let record = self.records.get(key);
         record.map(|record| record.restriction).unwrap_or_default()
     }
 
     /// Marks an endpoint that reported draining to this entry; returns whether this is new.
     pub(super) fn set_draining(&mut self, now: Monotonic, key: IncarnationKey) -> bool {
-        let record = self.touch(now, key);
+        let record = self.records.update(now, key);
         record.reported_at.get_or_insert(now);
         !std::mem::replace(&mut record.restriction.is_draining, true)
     }
 
     /// Marks an endpoint that reported draining to another entry; returns whether this is new.
     pub(super) fn apply_peer_draining(&mut self, now: Monotonic, key: IncarnationKey) -> bool {
-        let record = self.touch(now, key);
+        let record = self.records.update(now, key);
         !std::mem::replace(&mut record.restriction.is_draining, true)
     }
 
@@ -89,7 +82,7 @@
         key: IncarnationKey,
         backoff: Duration,
     ) -> bool {
-        let record = self.touch(now, key);
+        let record = self.records.update(now, key);
         let is_new = record.restriction.backoff_until <= now;
         let until = now + backoff.min(MAX_ENDPOINT_BACKOFF);
         record.restriction.backoff_until = record.restriction.backoff_until.max(until);
@@ -104,24 +97,12 @@
                 .is_some_and(|at| now.since(at) < SHARE_DURATION)
         };
         let recent = self.records.iter().filter(|(_, record)| is_recent(record));
-        recent.map(|(key, _)| *key).collect()
+        recent.map(|(key, _)| key).collect()
     }
 
     /// Drops old records.
     pub(super) fn expire(&mut self, now: Monotonic) {
-        self.records
-            .retain(|_, record| now.since(record.at) < RETENTION);
-    }
-
-    fn touch(&mut self, now: Monotonic, key: IncarnationKey) -> &mut RestrictionRecord {
-        if self.records.len() >= MAX_RECORDS && !self.records.contains_key(&key) {
-            let oldest = self.records.iter().min_by_key(|(_, record)| record.at);
-            let oldest = oldest.map(|(key, _)| *key);
-            oldest.and_then(|key| self.records.remove(&key));
-        }
-        let record = self.records.entry(key).or_default();
-        record.at = now;
-        record
+        self.records.expire(now);
     }
 }
 
