Entries decode, log and count the rate limits that endpoints name

The header is decoded in the adapter; an entry logs when a limit is named, changes or ends, logs the limit with each dispatch to such an endpoint, and shows the number of limited endpoints as a gauge. A limit ends with a successful response without one to a request that was sent after it was last named, because responses on different connections overtake each other.

Nothing acts on the limit yet.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -84,6 +84,11 @@
         &self.endpoint
     }
 
+    /// Returns the time at which the attempt started, which is before the request was sent.
+    pub(crate) const fn started_at(&self) -> Monotonic {
+        self.started_at
+    }
+
     /// Records that the response head arrived.
     pub(crate) fn head_received(&mut self, load: Option<ReportedLoad>) {
         let now = self.entry.cx().timers.now();
--- a/crates/direct/src/dispatcher.rs
+++ b/crates/direct/src/dispatcher.rs
@@ -9,6 +9,7 @@
 mod cold;
 mod incarnation_records;
 mod pool;
+mod rate_limit;
 mod restriction;
 
 use std::collections::BTreeSet;
@@ -28,6 +29,7 @@
 use self::cold::PeerEntries;
 use self::pool::EntryContext;
 use self::pool::PoolState;
+use self::rate_limit::RateLimits;
 pub use self::restriction::MAX_ENDPOINT_BACKOFF;
 pub use self::restriction::Restriction;
 use self::restriction::Restrictions;
@@ -116,6 +118,8 @@
     /// Whether the endpoint was chosen although it should be avoided because of recent failures; a
     /// stall does not count.
     pub is_avoided: bool,
+    /// Rate limit that the endpoint named, in requests per second.
+    pub rate_limit: Option<f64>,
 }
 
 /// Result for a queued request.
@@ -134,6 +138,7 @@
     context: EntryContext,
     pools: HashMap<PoolName, PoolState>,
     restrictions: Restrictions,
+    rate_limits: RateLimits,
     /// Failure domains whose endpoints receive no new requests.
     evacuated: BTreeSet<DomainName>,
 }
@@ -151,6 +156,7 @@
             },
             pools: HashMap::new(),
             restrictions: Restrictions::default(),
+            rate_limits: RateLimits::default(),
             evacuated: BTreeSet::new(),
         }
     }
@@ -246,7 +252,7 @@
         let estimate = pool.queue.record_arrival(now, &request.class);
         let class = request.class.clone();
         if pool.queue.is_empty()
-            && let Some(grant) = pool.try_grant(now, &request, &self.context)
+            && let Some(grant) = pool.try_grant(now, &request, &self.context, &mut self.rate_limits)
         {
             pool.queue.record_immediate_grant(now, &class);
             return SubmitResult::Granted(grant);
@@ -334,7 +340,7 @@
                     events.push(QueueEvent::Refused(queued.seq, retry_after));
                 }
             }
-            pool.grant_queued(now, &self.context, &mut events);
+            pool.grant_queued(now, &self.context, &mut self.rate_limits, &mut events);
             for queued in pool.queue.take_unservable(now) {
                 events.push(pool.refusal_event(now, &queued));
             }
@@ -348,6 +354,7 @@
             pool.decay_failure_rates(now);
         }
         self.restrictions.expire(now);
+        self.rate_limits.expire(now);
     }
 
     /// Records that an endpoint sent bytes that belong to no request.
--- a/crates/direct/src/dispatcher/pool.rs
+++ b/crates/direct/src/dispatcher/pool.rs
@@ -12,6 +12,7 @@
 use super::Grant;
 use super::QueueEvent;
 use super::cold::PeerEntries;
+use super::rate_limit::RateLimits;
 use super::retry_delay;
 use crate::endpoint::Endpoint;
 use crate::endpoint_tracker::DispatchEnd;
@@ -233,6 +234,7 @@
         &mut self,
         now: Monotonic,
         context: &EntryContext,
+        rate_limits: &mut RateLimits,
         events: &mut Vec<QueueEvent>,
     ) {
         while let Some(first) = self.queue.select_class(now) {
@@ -240,7 +242,7 @@
             classes.extend(self.queue.remaining_classes(&first));
             let granted = classes
                 .into_iter()
-                .find_map(|class| self.grant_first(now, &class, context));
+                .find_map(|class| self.grant_first(now, &class, context, rate_limits));
             match granted {
                 Some(event) => events.push(event),
                 None => return,
@@ -253,9 +255,10 @@
         now: Monotonic,
         class: &RequestClass,
         context: &EntryContext,
+        rate_limits: &mut RateLimits,
     ) -> Option<QueueEvent> {
         let request = self.queue.front(class)?.item.clone();
-        let grant = self.try_grant(now, &request, context)?;
+        let grant = self.try_grant(now, &request, context, rate_limits)?;
         self.queue.pop(now, class);
         Some(QueueEvent::Granted(request.seq, grant))
     }
@@ -285,6 +288,7 @@
         now: Monotonic,
         request: &DispatchRequest,
         context: &EntryContext,
+        rate_limits: &mut RateLimits,
     ) -> Option<Grant> {
         let mean_failure_rate = self.pool_failure_rate();
         let extra = extra_slots(request);
@@ -331,6 +335,7 @@
             slowness: tracker.slowness(),
             peer_load_age: tracker.peer_load_age(now),
             is_avoided,
+            rate_limit: rate_limits.per_second(tracker.incarnation()),
         })
     }
 }
--- a/crates/direct/src/endpoint_tracker.rs
+++ b/crates/direct/src/endpoint_tracker.rs
@@ -11,6 +11,7 @@
 use crate::endpoint::Endpoint;
 use crate::endpoint::EndpointKey;
 use crate::endpoint::EndpointState;
+use crate::endpoint::IncarnationKey;
 use crate::endpoint::ReportedLoad;
 
 /// Weight of a new sample in the moving average of slowness.
@@ -70,6 +71,7 @@
 pub struct EndpointTracker {
     endpoint: Arc<Endpoint>,
     key: EndpointKey,
+    incarnation: IncarnationKey,
     restriction: Restriction,
     preference: u64,
     tie_break_factor: f64,
@@ -111,6 +113,7 @@
         let hash = xxh3_64(name) ^ hash_seed;
         Self {
             key: EndpointKey::from(&endpoint.name),
+            incarnation: IncarnationKey::from(&*endpoint),
             restriction: Restriction::default(),
             preference: (xxh3_64_with_seed(name, hash_seed) >> 1)
                 | if is_same_domain {
@@ -142,6 +145,12 @@
         self.key
     }
 
+    /// Returns the hash that identifies this incarnation of the endpoint.
+    #[must_use]
+    pub const fn incarnation(&self) -> IncarnationKey {
+        self.incarnation
+    }
+
     /// Returns the place in this entry's order of preference; the lowest ones are preferred.
     #[must_use]
     pub const fn preference(&self) -> u64 {
--- a/crates/direct/src/entry/endpoint_signals.rs
+++ b/crates/direct/src/entry/endpoint_signals.rs
@@ -1,9 +1,10 @@
-//! Signals that endpoints send with their responses: draining, backoff and cold start.
+//! Signals that endpoints send with their responses: draining, backoff, rate limit and cold start.
 
 use std::collections::BTreeSet;
 
 use eelgrassramp::DomainName;
 use eelgrassramp::EntryName;
+use eelgrassramp::Monotonic;
 use eelgrassramp::num::millis;
 use slog::info;
 use slog::warn;
@@ -13,6 +14,7 @@
 use crate::endpoint::Endpoint;
 use crate::endpoint::IncarnationKey;
 use crate::protocol::Backoff;
+use crate::protocol::RateLimit;
 use crate::protocol::ResponseHead;
 use crate::request_log::LogLineKind;
 
@@ -25,12 +27,28 @@
         if let Some(backoff) = head.backoff {
             self.record_backoff(endpoint, backoff);
         }
+        if let Some(limit) = head.rate_limit {
+            self.record_rate_limit(endpoint, limit);
+        }
         if let Some(left) = head.cold_left {
             let now = self.cx.timers.now();
             self.lock().dispatcher.set_cold_for(now, endpoint, left);
         }
     }
 
+    /// Records that an endpoint answered a request sent at `sent_at` successfully without naming a
+    /// rate limit.
+    pub(crate) fn record_no_rate_limit(&self, endpoint: &Endpoint, sent_at: Monotonic) {
+        let now = self.cx.timers.now();
+        let mut state = self.lock();
+        let has_ended = state.dispatcher.end_rate_limit(now, endpoint, sent_at);
+        drop(state);
+        if has_ended && self.log_limiter.allows(now, LogLineKind::Endpoint) {
+            info!(self.cx.log, "endpoint names no rate limit any more";
+                "endpoint" => endpoint.name.as_str());
+        }
+    }
+
     /// Replaces the set of failure domains that the operator evacuated; their endpoints receive no new
     /// requests.
     pub fn set_evacuated(&self, evacuated: &BTreeSet<DomainName>) {
@@ -109,4 +127,23 @@
                 "in_force_ms" => millis(duration.min(MAX_ENDPOINT_BACKOFF)));
         }
     }
+
+    fn record_rate_limit(&self, endpoint: &Endpoint, limit: RateLimit) {
+        let now = self.cx.timers.now();
+        let RateLimit::PerSecond(per_second) = limit else {
+            if self.log_limiter.allows(now, LogLineKind::Endpoint) {
+                warn!(self.cx.log, "endpoint named a rate limit that cannot be read, ignored";
+                    "endpoint" => endpoint.name.as_str());
+            }
+            return;
+        };
+        let mut state = self.lock();
+        let is_changed = state.dispatcher.set_rate_limit(now, endpoint, per_second);
+        drop(state);
+        if is_changed && self.log_limiter.allows(now, LogLineKind::Endpoint) {
+            info!(self.cx.log, "endpoint named a rate limit";
+                "endpoint" => endpoint.name.as_str(), "pool" => endpoint.pool.as_str(),
+                "per_second" => per_second);
+        }
+    }
 }
--- a/crates/direct/src/entry/state.rs
+++ b/crates/direct/src/entry/state.rs
@@ -55,6 +55,8 @@
         let (out_of_service, paused) = self.dispatcher.restricted_counts(now);
         gauges.push(Gauge::new("endpoints_leaving", out_of_service as f64));
         gauges.push(Gauge::new("endpoints_paused", paused as f64));
+        let limited = self.dispatcher.rate_limited_count() as f64;
+        gauges.push(Gauge::new("endpoints_limited", limited));
         let cold = self.dispatcher.cold_endpoint_count(now) as f64;
         gauges.push(Gauge::new("endpoints_cold", cold));
         let evacuated = self.dispatcher.evacuated_domains().len() as f64;
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -289,6 +289,10 @@
         let failure = match head.response_match {
             ResponseMatch::Valid => {
                 in_flight.head_received(head.load);
+                if head.rate_limit.is_none() && parts.status.is_success() {
+                    let sent_at = in_flight.started_at();
+                    self.entry.record_no_rate_limit(endpoint, sent_at);
+                }
                 let is_failure = parts.status.is_server_error();
                 if !is_failure || !self.should_retry_server_error() {
                     return Ok((Response::from_parts(parts, body), head, connection));
--- a/crates/direct/src/protocol.rs
+++ b/crates/direct/src/protocol.rs
@@ -72,8 +72,17 @@
     Invalid,
 }
 
+/// Rate of requests that an endpoint accepts from all entries together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum RateLimit {
+    /// The endpoint gave a number of requests per second, which is finite and not negative.
+    PerSecond(f64),
+    /// The endpoint gave a value that is not such a number.
+    Invalid,
+}
+
 /// Decoded head of an endpoint's response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ResponseHead {
     /// Whether the response belongs to the request and may be forwarded.
     pub response_match: ResponseMatch,
@@ -85,6 +94,8 @@
     pub is_draining: bool,
     /// Backoff that the endpoint asked for when it rejected the request.
     pub backoff: Option<Backoff>,
+    /// Rate limit that the endpoint names; it is in force for as long as responses contain it.
+    pub rate_limit: Option<RateLimit>,
     /// Remaining time for which the endpoint, having just started, handles only little load.
     pub cold_left: Option<Duration>,
 }
