Dispatcher: a sampled new version without pace left holds up no requests

Found while looking for what paced endpoints do elsewhere. During a rollout a share of the requests is chosen for the new version. If its endpoints were cold or named a rate limit, such a request waited for the pace of those endpoints, and all behind it in its class waited too, while endpoints of the old version were free. Callers saw late answers and refusals without need.

Cause: the choice of a version asked only whether an endpoint of it accepts requests, not whether this entry may send it one now. Now both count while both versions receive requests; once all requests go to the new version the choice stays, because the old endpoints are about to stop.

Both tests failed before: the second request was queued instead of going to the old version.

--- a/crates/direct/src/dispatcher/pool.rs
+++ b/crates/direct/src/dispatcher/pool.rs
@@ -166,20 +166,28 @@
 
     /// Selects a version by the rollout's share; falls back to the old version if no endpoint of
     /// the new one accepts requests.
+    ///
+    /// While the new version is sampled, an endpoint whose pace is used up does not count either:
+    /// requests that wait for it would hold up those behind them.
     fn choose_version(
         &self,
         now: Monotonic,
         request: &DispatchRequest,
         context: &EntryContext,
+        rate_limits: &RateLimits,
     ) -> VersionGroup {
         let Some(rollout) = &self.rollout else {
             return VersionGroup::Old;
         };
         let chosen = rollout.choose_group(now, request.version_draw, context.entries);
+        let is_sampling = rollout.is_sampling(now);
         let mut ready = self
             .trackers
             .values()
-            .filter(|tracker| tracker.accepts_requests(now));
+            .filter(|tracker| tracker.accepts_requests(now))
+            .filter(|tracker| {
+                !is_sampling || self.is_within_pace(now, tracker, context, rate_limits)
+            });
         let is_available =
             ready.any(|tracker| rollout.group_of(&tracker.endpoint().version) == chosen);
         match (chosen, is_available) {
@@ -263,6 +271,18 @@
         Some(QueueEvent::Granted(request.seq, grant))
     }
 
+    /// Returns whether all rate limits of the endpoint allow this entry to send one more request.
+    fn is_within_pace(
+        &self,
+        now: Monotonic,
+        tracker: &EndpointTracker,
+        context: &EntryContext,
+        rate_limits: &RateLimits,
+    ) -> bool {
+        self.is_within_cold_limit(now, tracker, context)
+            && rate_limits.allows(now, tracker, context)
+    }
+
     /// Returns whether the cold-start rate limit, if any, allows this entry to send one more
     /// request.
     fn is_within_cold_limit(
@@ -303,7 +323,7 @@
         let total = ready().count() as f64;
         let may_avoid = ready().filter(|tracker| should_avoid(tracker)).count() as f64
             <= MAX_AVOIDED_SHARE * total;
-        let group = self.choose_version(now, request, context);
+        let group = self.choose_version(now, request, context, rate_limits);
         let is_chosen_version = |tracker: &EndpointTracker| {
             let rollout = self.rollout.as_ref();
             rollout.is_none_or(|r| r.group_of(&tracker.endpoint().version) == group)
@@ -312,8 +332,7 @@
             .filter(|tracker| is_chosen_version(tracker))
             .filter(|tracker| !request.attempted.contains(&tracker.endpoint().name))
             .filter(|tracker| tracker.has_capacity(now, extra))
-            .filter(|tracker| self.is_within_cold_limit(now, tracker, context))
-            .filter(|tracker| rate_limits.allows(now, tracker, context))
+            .filter(|tracker| self.is_within_pace(now, tracker, context, rate_limits))
             .filter(|tracker| !(may_avoid && should_avoid(tracker)));
         let usable = self.narrow_to_preferred(now, prefer_warm(now, usable.collect()), context);
         let best = usable
--- a/crates/direct/src/rollout.rs
+++ b/crates/direct/src/rollout.rs
@@ -383,6 +383,12 @@
         }
     }
 
+    /// Returns whether both versions receive requests, so that a request may go to either.
+    #[must_use]
+    pub fn is_sampling(&self, now: Monotonic) -> bool {
+        self.outcome.is_none() && !self.sends_all_to_new(now)
+    }
+
     fn sends_all_to_new(&self, now: Monotonic) -> bool {
         let is_past_ramp =
             now.since(self.started_at) > self.order.duration.mul_f64(ALL_TO_NEW_AT_RATIO);
--- a/crates/direct/tests/dispatcher/cold.rs
+++ b/crates/direct/tests/dispatcher/cold.rs
@@ -8,6 +8,7 @@
 use eelgrassramp::DomainName;
 use eelgrassramp::EntryName;
 use eelgrassramp::PoolName;
+use eelgrassramp::VersionName;
 use eelgrassramp_direct::dispatcher::DispatchRequest;
 use eelgrassramp_direct::dispatcher::Dispatcher;
 use eelgrassramp_direct::dispatcher::Grant;
@@ -21,10 +22,12 @@
 use rand::rngs::StdRng;
 
 use super::fixture;
+use super::fixture::EXPOSURE;
 use super::fixture::POOL;
 use super::fixture::at;
 use super::fixture::granted;
 use super::fixture::granted_seqs;
+use super::fixture::rollout_order;
 
 const SLOTS: u32 = 16;
 
@@ -190,6 +193,33 @@
     }
 }
 
+#[gtest]
+fn a_new_version_whose_endpoints_are_cold_holds_up_no_requests() {
+    let old = endpoint("old", "a", None);
+    let new = Arc::new(Endpoint {
+        version: VersionName::from("v2"),
+        ..(*cold("new", Duration::from_secs(30))).clone()
+    });
+    let mut dispatcher = entry(&EntryName::from("entry-1"), &[], 8.8);
+    dispatcher.set_endpoints(at(0), &[Arc::clone(&old), Arc::clone(&new)]);
+    dispatcher.set_orders(at(0), vec![rollout_order("v2")], EXPOSURE);
+    let chosen_for_new = |seq| DispatchRequest {
+        version_draw: 0.0,
+        ..request(seq, PEER_LIST_COMPLETE_MS)
+    };
+
+    let now = at(PEER_LIST_COMPLETE_MS);
+    let first = granted(dispatcher.submit(now, chosen_for_new(1)));
+    let second = granted(dispatcher.submit(now, chosen_for_new(2)));
+
+    let names: Vec<_> = [first, second]
+        .into_iter()
+        .flatten()
+        .map(|grant| grant.endpoint.name.clone())
+        .collect();
+    expect_that!(names, elements_are![eq(&new.name), eq(&old.name)]);
+}
+
 #[gtest]
 fn cold_endpoint_is_unused_until_peer_list_is_complete() {
     let mut dispatcher = Dispatcher::new("entry-1", "a");
--- a/crates/direct/tests/dispatcher/fixture.rs
+++ b/crates/direct/tests/dispatcher/fixture.rs
@@ -16,10 +16,18 @@
 use eelgrassramp_direct::endpoint::EndpointState;
 use eelgrassramp_direct::request_queue::Priority;
 use eelgrassramp_direct::request_queue::RequestClass;
+use eelgrassramp_direct::rollout::ExposureLimits;
+use eelgrassramp_direct::rollout::RolloutOrder;
 
 /// The pool of all endpoints and requests.
 pub const POOL: &str = "drafts";
 
+/// Share of a new version that is not known to be good.
+pub const EXPOSURE: ExposureLimits = ExposureLimits {
+    share: 0.1,
+    slack: 50.0,
+};
+
 /// Creates a warm endpoint that accepts new requests.
 pub fn endpoint(name: &str, domain: &str, slots: u32) -> Endpoint {
     Endpoint {
@@ -39,6 +47,17 @@
     Monotonic::from_millis(ms)
 }
 
+/// Creates an order to move the pool to `version`.
+pub fn rollout_order(version: &str) -> RolloutOrder {
+    RolloutOrder {
+        id: 1,
+        pool: PoolName::from(POOL),
+        new_version: VersionName::from(version),
+        duration: Duration::from_secs(15),
+        outcome: None,
+    }
+}
+
 /// Creates a request that is on time if started within 300 ms, and expires after 2 s.
 pub fn request(seq: u64, priority: u32, submitted_ms: u64) -> DispatchRequest {
     let submitted_at = at(submitted_ms);
--- a/crates/direct/tests/dispatcher/rate_limit.rs
+++ b/crates/direct/tests/dispatcher/rate_limit.rs
@@ -7,6 +7,8 @@
 
 use eelgrassramp::DomainName;
 use eelgrassramp::EntryName;
+use eelgrassramp::VersionName;
+use eelgrassramp_direct::dispatcher::DispatchRequest;
 use eelgrassramp_direct::dispatcher::Dispatcher;
 use eelgrassramp_direct::dispatcher::Grant;
 use eelgrassramp_direct::dispatcher::QueueEvent;
@@ -20,10 +22,12 @@
 use rand::rngs::StdRng;
 
 use super::fixture;
+use super::fixture::EXPOSURE;
 use super::fixture::at;
 use super::fixture::granted;
 use super::fixture::granted_seqs;
 use super::fixture::request;
+use super::fixture::rollout_order;
 
 const SLOTS: u32 = 16;
 
@@ -204,6 +208,27 @@
     }
 }
 
+/// While entries join and leave, their lists of each other differ.
+#[gtest]
+fn the_rate_limit_holds_with_inconsistent_peer_lists() {
+    for seed in 0..10 {
+        let mut fleet = fleet(30, &[endpoint("e")]);
+        let mut rng = StdRng::seed_from_u64(seed);
+        for (i, entry) in fleet.iter_mut().enumerate() {
+            let missing = rng.random_range(0..30);
+            let known = (0..30).filter(|other| *other != i && *other != missing);
+            let known: Vec<_> = known.map(entry_name).collect();
+            entry.set_peer_entries(at(0), known.iter());
+        }
+        let mut simulation = Simulation::new(fleet, seed);
+
+        simulation.run(0..30_000, Some(PER_SECOND));
+
+        let busiest = simulation.busiest_window(ADAPTATION_MS);
+        expect_that!(busiest, le(max_in_window(PER_SECOND)), "seed {seed}");
+    }
+}
+
 #[gtest]
 fn a_limited_endpoint_is_used_by_other_entries_while_the_senders_are_idle() {
     for n in [4, 30, 103] {
@@ -299,6 +324,32 @@
     expect_that!(limited.count(), le(1));
 }
 
+#[gtest]
+fn a_new_version_whose_endpoints_are_limited_holds_up_no_requests() {
+    let old = endpoint("old");
+    let new = Arc::new(Endpoint {
+        version: VersionName::from("v2"),
+        ..fixture::endpoint("new", "a", SLOTS)
+    });
+    let mut entry = fleet(1, &[Arc::clone(&old), Arc::clone(&new)]).remove(0);
+    entry.set_orders(at(0), vec![rollout_order("v2")], EXPOSURE);
+    entry.set_rate_limit(at(0), &new, 1.0);
+    let chosen_for_new = |seq| DispatchRequest {
+        version_draw: 0.0,
+        ..request(seq, 0, 100)
+    };
+
+    let first = granted(entry.submit(at(100), chosen_for_new(1)));
+    let second = granted(entry.submit(at(100), chosen_for_new(2)));
+
+    let names: Vec<_> = [first, second]
+        .into_iter()
+        .flatten()
+        .map(|grant| grant.endpoint.name.clone())
+        .collect();
+    expect_that!(names, elements_are![eq(&new.name), eq(&old.name)]);
+}
+
 #[gtest]
 fn callers_beyond_the_limit_of_all_endpoints_are_refused_in_time() {
     let endpoint = endpoint("e");
