Entries tell each other when an endpoint's rate limit has ended

An entry that stands by sends a limited endpoint nothing, so it saw the end of a limit only after 10 s without news and, in a fleet of 103 entries with a limit of 1.4 a second, up to a minute more. Callers had less capacity than there was for that time.

A report now says either the limit or its end, as a type of its own in place of a pair. An entry lists an end that it saw itself for 2 s; others end the limit too, unless it was named to them in the last second, as the report may be about an earlier limit. Ends are not passed on, so they cannot circulate.

The test failed without the listing: 2 of 4, 28 of 30 and 101 of 103 entries still held the limit 6 s after its end; now none does.

--- a/crates/direct/src/dispatcher.rs
+++ b/crates/direct/src/dispatcher.rs
@@ -30,6 +30,7 @@
 use self::peer_entries::PeerEntries;
 use self::pool::EntryContext;
 use self::pool::PoolState;
+pub use self::rate_limit::RateLimitReport;
 use self::rate_limit::RateLimits;
 pub use self::restriction::MAX_ENDPOINT_BACKOFF;
 pub use self::restriction::Restriction;
--- a/crates/direct/src/dispatcher/rate_limit.rs
+++ b/crates/direct/src/dispatcher/rate_limit.rs
@@ -5,7 +5,6 @@
 //! own share of it and tells the others of limits that were named to it. See
 //! `docs/design/platform.md`, "Rate limits of endpoints".
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrassramp::Monotonic;
@@ -29,10 +28,26 @@
 /// Time after an endpoint named a limit in which messages to other entries list it.
 const SHARE_DURATION: Duration = Duration::from_secs(5);
 
+/// Time after a response ended a limit in which messages to other entries list this.
+const END_SHARE_DURATION: Duration = Duration::from_secs(2);
+
+/// Time after an endpoint named a limit to this entry in which it does not end because of another
+/// entry's report, which may be about an earlier limit.
+const MIN_NAMED_TIME: Duration = Duration::from_secs(1);
+
 /// Time without news of a limit after which an entry on standby sends requests: the senders have
 /// sent none, or the limit has ended.
 const STANDBY_DELAY: Duration = Duration::from_secs(10);
 
+/// What an endpoint said about its rate limit to one entry.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RateLimitReport {
+    /// The endpoint.
+    pub endpoint: IncarnationKey,
+    /// Requests per second of all entries together; `None` if a limit has ended.
+    pub per_second: Option<f64>,
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct RateLimitRecord {
     /// Requests per second of all entries together; `None` once the limit has ended.
@@ -43,12 +58,32 @@
     known_at: Monotonic,
     /// When the endpoint or another entry last named the limit.
     confirmed_at: Monotonic,
-    /// When a response ended the limit.
+    /// When the limit ended.
     ended_at: Option<Monotonic>,
+    /// Whether a response to this entry ended it.
+    is_end_observed: bool,
     /// When the next request of this entry is due, according to the pace of its share.
     next_due: Monotonic,
 }
 
+impl RateLimitRecord {
+    fn end(&mut self, now: Monotonic, is_observed: bool) {
+        self.per_second = None;
+        self.named_at = None;
+        self.ended_at = Some(now);
+        self.is_end_observed = is_observed;
+    }
+
+    /// Returns whether messages to other entries list the record.
+    fn is_to_report(&self, now: Monotonic) -> bool {
+        if self.per_second.is_some() {
+            is_within(now, self.named_at, SHARE_DURATION)
+        } else {
+            self.is_end_observed && is_within(now, self.ended_at, END_SHARE_DURATION)
+        }
+    }
+}
+
 /// When this entry may send its next request to an endpoint, and how long the one after it has to
 /// wait.
 struct Pace {
@@ -125,15 +160,14 @@
     /// before.
     ///
     /// What the endpoint said to this entry itself of late goes before it.
-    fn set_peer_limit(&mut self, now: Monotonic, key: IncarnationKey, per_second: f64) -> bool {
-        let is_recent = |at: Option<Monotonic>| at.is_some_and(|at| now.since(at) < SHARE_DURATION);
+    fn set_reported(&mut self, now: Monotonic, key: IncarnationKey, per_second: f64) -> bool {
         let known = self.records.get(key).copied().unwrap_or_default();
-        if is_recent(known.ended_at) {
+        if is_within(now, known.ended_at, SHARE_DURATION) {
             return false;
         }
         let record = self.records.update(now, key);
         record.confirmed_at = now;
-        if is_recent(known.named_at) {
+        if is_within(now, known.named_at, SHARE_DURATION) {
             return false;
         }
         record.per_second = Some(per_second);
@@ -143,6 +177,16 @@
         known.per_second.is_none()
     }
 
+    /// Records that a limit ended for another entry; returns whether this ends it here.
+    fn end_reported(&mut self, now: Monotonic, key: IncarnationKey) -> bool {
+        let known = self.records.get(key).copied().unwrap_or_default();
+        if known.per_second.is_none() || is_within(now, known.named_at, MIN_NAMED_TIME) {
+            return false;
+        }
+        self.records.update(now, key).end(now, false);
+        true
+    }
+
     /// Records a response without a limit to a request sent at `sent_at`; returns whether this ends
     /// a limit.
     ///
@@ -153,21 +197,21 @@
         if current.per_second.is_none() || sent_at <= current.known_at {
             return false;
         }
-        let record = self.records.update(now, key);
-        record.per_second = None;
-        record.named_at = None;
-        record.ended_at = Some(now);
+        self.records.update(now, key).end(now, true);
         true
     }
 
-    /// Returns the limits to list in messages to other entries.
-    fn recently_named(&self, now: Monotonic) -> Vec<(IncarnationKey, f64)> {
-        let recent = self.records.iter().filter(|(_, record)| {
-            let named_at = record.named_at;
-            named_at.is_some_and(|at| now.since(at) < SHARE_DURATION)
-        });
+    /// Returns what endpoints recently said about their limits to this entry.
+    fn recent_reports(&self, now: Monotonic) -> Vec<RateLimitReport> {
+        let recent = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.is_to_report(now));
         recent
-            .filter_map(|(key, record)| Some((key, record.per_second?)))
+            .map(|(endpoint, record)| RateLimitReport {
+                endpoint,
+                per_second: record.per_second,
+            })
             .collect()
     }
 
@@ -197,35 +241,26 @@
         self.rate_limits.end(now, key, sent_at)
     }
 
-    /// Returns the rate limits to list in messages to other entries, in requests per second: those
-    /// that endpoints recently named to this entry.
+    /// Returns what messages to other entries list: what endpoints recently said about their rate
+    /// limits to this entry.
     #[must_use]
-    pub fn rate_limits_to_share(&self, now: Monotonic) -> Vec<(IncarnationKey, f64)> {
-        self.rate_limits.recently_named(now)
+    pub fn rate_limits_to_share(&self, now: Monotonic) -> Vec<RateLimitReport> {
+        self.rate_limits.recent_reports(now)
     }
 
-    /// Records the rate limits that endpoints named to another entry, and returns the known endpoints
-    /// that had none before.
-    pub fn apply_peer_rate_limits(
+    /// Applies what endpoints said about their rate limits to another entry, and returns the reports
+    /// that changed whether a limit is in force.
+    pub fn apply_rate_limit_reports(
         &mut self,
         now: Monotonic,
-        limits: &[(IncarnationKey, f64)],
-    ) -> Vec<Arc<Endpoint>> {
-        let mut newly_limited = limits.to_vec();
-        newly_limited
-            .retain(|(key, per_second)| self.rate_limits.set_peer_limit(now, *key, *per_second));
-        if newly_limited.is_empty() {
-            return Vec::new();
-        }
-        let trackers = self.pools.values().flat_map(|p| p.trackers.values());
-        let is_new = |tracker: &&EndpointTracker| {
-            let key = tracker.incarnation();
-            newly_limited.iter().any(|(limited, _)| *limited == key)
-        };
-        let limited = trackers.filter(is_new);
-        limited
-            .map(|tracker| Arc::clone(tracker.endpoint()))
-            .collect()
+        reports: &[RateLimitReport],
+    ) -> Vec<RateLimitReport> {
+        let mut applied = reports.to_vec();
+        applied.retain(|report| match report.per_second {
+            Some(rate) => self.rate_limits.set_reported(now, report.endpoint, rate),
+            None => self.rate_limits.end_reported(now, report.endpoint),
+        });
+        applied
     }
 
     /// Returns the number of known endpoints with a rate limit in force.
@@ -237,3 +272,8 @@
         limited.count()
     }
 }
+
+/// Returns whether `at` is less than `period` before `now`.
+fn is_within(now: Monotonic, at: Option<Monotonic>, period: Duration) -> bool {
+    at.is_some_and(|at| now.since(at) < period)
+}
--- a/crates/direct/src/entry/endpoint_signals.rs
+++ b/crates/direct/src/entry/endpoint_signals.rs
@@ -11,6 +11,7 @@
 
 use super::Entry;
 use crate::dispatcher::MAX_ENDPOINT_BACKOFF;
+use crate::dispatcher::RateLimitReport;
 use crate::endpoint::Endpoint;
 use crate::endpoint::IncarnationKey;
 use crate::protocol::Backoff;
@@ -87,21 +88,27 @@
         }
     }
 
-    /// Applies a peer's list of rate limits that endpoints named to it.
-    pub(super) fn apply_peer_rate_limits(
-        &self,
-        entry: &EntryName,
-        limits: &[(IncarnationKey, f64)],
-    ) {
-        if limits.is_empty() {
+    /// Applies what endpoints told a peer about their rate limits.
+    pub(super) fn apply_rate_limit_reports(&self, entry: &EntryName, reports: &[RateLimitReport]) {
+        if reports.is_empty() {
             return;
         }
         let now = self.cx.timers.now();
-        let newly_limited = self.lock().dispatcher.apply_peer_rate_limits(now, limits);
-        for endpoint in newly_limited {
-            if self.log_limiter.allows(now, LogLineKind::Endpoint) {
-                info!(self.cx.log, "endpoint named a rate limit to another entry";
-                    "endpoint" => endpoint.name.as_str(), "entry" => entry.as_str());
+        let mut state = self.lock();
+        let applied = state.dispatcher.apply_rate_limit_reports(now, reports);
+        drop(state);
+        if applied.is_empty() {
+            return;
+        }
+        for endpoint in self.endpoints().iter() {
+            let key = IncarnationKey::from(&**endpoint);
+            let report = applied.iter().find(|report| report.endpoint == key);
+            if let Some(report) =
+                report.filter(|_| self.log_limiter.allows(now, LogLineKind::Endpoint))
+            {
+                info!(self.cx.log, "endpoint told another entry about its rate limit";
+                    "endpoint" => endpoint.name.as_str(), "entry" => entry.as_str(),
+                    "per_second" => report.per_second);
             }
         }
     }
--- a/crates/direct/src/entry/usage.rs
+++ b/crates/direct/src/entry/usage.rs
@@ -4,6 +4,7 @@
 use eelgrassramp::EntryName;
 
 use super::Entry;
+use crate::dispatcher::RateLimitReport;
 use crate::dispatcher::RolloutCounts;
 use crate::endpoint::EndpointKey;
 use crate::endpoint::IncarnationKey;
@@ -24,9 +25,9 @@
     pub rollouts: Vec<RolloutCounts>,
     /// Endpoints that recently told this entry in a response that they are draining.
     pub draining: Vec<IncarnationKey>,
-    /// Rate limits, in requests per second, that endpoints recently named to this entry; like
-    /// `draining`, only those not listed before unless `has_all_in_flight` is set.
-    pub rate_limits: Vec<(IncarnationKey, f64)>,
+    /// What endpoints recently told this entry about their rate limits; like `draining`, only what was
+    /// not listed before unless `has_all_in_flight` is set.
+    pub rate_limits: Vec<RateLimitReport>,
 }
 
 impl Entry {
@@ -48,7 +49,7 @@
     /// Applies the shared state received from a peer, complete or only the changes.
     pub fn apply_peer_state(&self, entry: &EntryName, incarnation: u64, update: SharedState) {
         self.apply_peer_draining_list(entry, &update.draining);
-        self.apply_peer_rate_limits(entry, &update.rate_limits);
+        self.apply_rate_limit_reports(entry, &update.rate_limits);
         let now = self.cx.timers.now();
         let mut state = self.lock();
         state
--- a/crates/direct/src/exchange/message.rs
+++ b/crates/direct/src/exchange/message.rs
@@ -15,6 +15,7 @@
 
 use super::StateVersions;
 use super::sent_state::SentState;
+use crate::dispatcher::RateLimitReport;
 use crate::dispatcher::RolloutCounts;
 use crate::endpoint::EndpointKey;
 use crate::endpoint::IncarnationKey;
@@ -49,11 +50,10 @@
     #[serde(rename = "emptied")]
     #[serde(default)]
     evacuated: u64,
-    /// Rate limits that endpoints named, in requests per second; left out if there are none, because
-    /// a build without this field cannot decode a message with it.
+    /// Left out if it is empty, because a build without this field cannot decode a message with it.
     #[serde(default)]
     #[serde(skip_serializing_if = "Vec::is_empty")]
-    rate_limits: Vec<(IncarnationKey, f64)>,
+    rate_limits: Vec<RateLimitReportWire>,
 }
 
 /// Upper limit for the in-flight requests of one entry at one endpoint; larger received counts are
@@ -75,6 +75,32 @@
     level: i64,
 }
 
+/// Endpoint and its limit in requests per second, if one is in force.
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize, Deserialize)]
+struct RateLimitReportWire(IncarnationKey, Option<f64>);
+
+impl RateLimitReportWire {
+    fn is_valid(&self) -> bool {
+        self.1.is_none_or(|rate| rate.is_finite() && rate >= 0.0)
+    }
+}
+
+impl From<RateLimitReport> for RateLimitReportWire {
+    fn from(report: RateLimitReport) -> Self {
+        Self(report.endpoint, report.per_second)
+    }
+}
+
+impl From<RateLimitReportWire> for RateLimitReport {
+    fn from(RateLimitReportWire(endpoint, per_second): RateLimitReportWire) -> Self {
+        Self {
+            endpoint,
+            per_second,
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 #[derive(Serialize, Deserialize)]
 struct RolloutCountsWire {
@@ -192,7 +218,7 @@
                 .has_all_in_flight
                 .then(|| entry.identity().domain.clone()),
             evacuated: state_versions.evacuated,
-            rate_limits: update.rate_limits,
+            rate_limits: update.rate_limits.into_iter().map(Into::into).collect(),
         }
     }
 
@@ -210,7 +236,7 @@
     fn from(wire: UsageWire) -> Self {
         let in_flight = wire.in_flight.into_iter();
         let rate_limits = wire.rate_limits.into_iter();
-        let rate_limits = rate_limits.filter(|(_, rate)| rate.is_finite() && *rate >= 0.0);
+        let rate_limits = rate_limits.filter(RateLimitReportWire::is_valid);
         Self {
             has_all_in_flight: wire.has_all_in_flight,
             in_flight: in_flight
@@ -219,7 +245,7 @@
             accounts: wire.accounts.into_iter().map(Into::into).collect(),
             rollouts: wire.rollouts.into_iter().map(Into::into).collect(),
             draining: wire.draining,
-            rate_limits: rate_limits.collect(),
+            rate_limits: rate_limits.map(Into::into).collect(),
         }
     }
 }
--- a/crates/direct/src/exchange/sent_state.rs
+++ b/crates/direct/src/exchange/sent_state.rs
@@ -7,6 +7,7 @@
 use eelgrassramp::AccountName;
 use eelgrassramp::Monotonic;
 
+use crate::dispatcher::RateLimitReport;
 use crate::endpoint::EndpointKey;
 use crate::endpoint::IncarnationKey;
 use crate::entry::SharedState;
@@ -32,7 +33,7 @@
     /// Draining endpoints that were sent.
     leaving: HashSet<IncarnationKey>,
     /// Rate limits that were sent.
-    rate_limits: HashMap<IncarnationKey, f64>,
+    rate_limits: HashMap<IncarnationKey, Option<f64>>,
 }
 
 impl SentState {
@@ -79,12 +80,12 @@
         leaving
     }
 
-    fn changed_rate_limits(
-        &mut self,
-        mut limits: Vec<(IncarnationKey, f64)>,
-    ) -> Vec<(IncarnationKey, f64)> {
-        limits.retain(|(key, rate)| self.rate_limits.insert(*key, *rate) != Some(*rate));
-        limits
+    fn changed_rate_limits(&mut self, mut reports: Vec<RateLimitReport>) -> Vec<RateLimitReport> {
+        reports.retain(|report| {
+            let before = self.rate_limits.insert(report.endpoint, report.per_second);
+            before != Some(report.per_second)
+        });
+        reports
     }
 
     fn changed_accounts(&mut self, mut accounts: Vec<AccountUsage>) -> Vec<AccountUsage> {
--- a/crates/direct/tests/dispatcher/rate_limit.rs
+++ b/crates/direct/tests/dispatcher/rate_limit.rs
@@ -12,6 +12,7 @@
 use eelgrassramp_direct::dispatcher::Dispatcher;
 use eelgrassramp_direct::dispatcher::Grant;
 use eelgrassramp_direct::dispatcher::QueueEvent;
+use eelgrassramp_direct::dispatcher::RateLimitReport;
 use eelgrassramp_direct::dispatcher::SubmitResult;
 use eelgrassramp_direct::endpoint::Endpoint;
 use eelgrassramp_direct::endpoint::IncarnationKey;
@@ -77,6 +78,13 @@
     (0..n).map(entry).collect()
 }
 
+fn report(endpoint: &Endpoint, per_second: Option<f64>) -> RateLimitReport {
+    RateLimitReport {
+        endpoint: IncarnationKey::from(endpoint),
+        per_second,
+    }
+}
+
 /// Entries under load, and what their endpoint received.
 struct Simulation {
     fleet: Vec<Dispatcher>,
@@ -162,7 +170,7 @@
         for (i, entry) in self.fleet.iter_mut().enumerate() {
             let of_others = lists.iter().enumerate().filter(|(j, _)| *j != i);
             for (_, list) in of_others {
-                entry.apply_peer_rate_limits(at(ms), list);
+                entry.apply_rate_limit_reports(at(ms), list);
             }
         }
     }
@@ -280,12 +288,36 @@
     entry.set_rate_limit(at(1_000), &endpoint, 1.0);
     entry.end_rate_limit(at(2_000), &endpoint, at(1_500));
 
-    let key = IncarnationKey::from(&*endpoint);
-    entry.apply_peer_rate_limits(at(3_000), &[(key, 1.0)]);
+    entry.apply_rate_limit_reports(at(3_000), &[report(&endpoint, Some(1.0))]);
 
     expect_that!(entry.rate_limited_count(), eq(0));
 }
 
+#[gtest]
+fn entries_on_standby_use_the_endpoint_as_soon_as_a_sender_has_seen_the_limit_end() {
+    for n in [4, 30, 103] {
+        let mut simulation = Simulation::new(fleet(n, &[endpoint("e")]), 7);
+        simulation.run(0..20_000, Some(PER_SECOND));
+
+        simulation.run(20_000..26_000, None);
+
+        let limited = simulation.fleet.iter();
+        let limited = limited.filter(|entry| entry.rate_limited_count() > 0);
+        expect_that!(limited.count(), eq(0), "{n} entries");
+    }
+}
+
+#[gtest]
+fn another_entrys_report_of_an_end_does_not_end_a_limit_named_since() {
+    let endpoint = endpoint("e");
+    let mut entry = fleet(2, &[Arc::clone(&endpoint)]).remove(0);
+    entry.set_rate_limit(at(1_000), &endpoint, 1.0);
+
+    entry.apply_rate_limit_reports(at(1_500), &[report(&endpoint, None)]);
+
+    expect_that!(entry.rate_limited_count(), eq(1));
+}
+
 #[gtest]
 fn a_limit_survives_a_gap_in_the_registry_and_ends_with_a_restart() {
     let endpoint = endpoint("e");
