--- a/crates/direct/tests/dispatcher/cold.rs
+++ b/crates/direct/tests/dispatcher/cold.rs
@@ -26,8 +26,10 @@
 use super::fixture::POOL;
 use super::fixture::at;
 use super::fixture::granted;
+use super::fixture::granted_endpoints;
 use super::fixture::granted_seqs;
 use super::fixture::rollout_order;
+use super::fixture::submit_and_dispatch;
 
 const SLOTS: u32 = 16;
 
@@ -84,14 +86,8 @@
             fleet[i].record_outcome(at(ms), &grant.endpoint, &grant.route, served);
         }
         let i = rng.random_range(0..fleet.len());
-        let now = request(seq as u64, ms);
-        let mut grants: Vec<_> = granted(fleet[i].submit(at(ms), now)).into_iter().collect();
-        grants.extend(fleet[i].dispatch_queued(at(ms)).into_iter().filter_map(
-            |event| match event {
-                QueueEvent::Granted(_, grant) => Some(grant),
-                QueueEvent::Refused(..) => None,
-            },
-        ));
+        let next = request(seq as u64, ms);
+        let grants = submit_and_dispatch(&mut fleet[i], at(ms), next);
         for grant in grants {
             sent.push(ms);
             in_flight.push((ms + rng.random_range(20..400), i, grant));
@@ -209,14 +205,9 @@
     };
 
     let now = at(PEER_LIST_COMPLETE_MS);
-    let first = granted(dispatcher.submit(now, chosen_for_new(1)));
-    let second = granted(dispatcher.submit(now, chosen_for_new(2)));
-
-    let names: Vec<_> = [first, second]
-        .into_iter()
-        .flatten()
-        .map(|grant| grant.endpoint.name.clone())
-        .collect();
+    let submitted = [1, 2].map(|seq| dispatcher.submit(now, chosen_for_new(seq)));
+
+    let names = granted_endpoints(submitted);
     expect_that!(names, elements_are![eq(&new.name), eq(&old.name)]);
 }
 
--- a/crates/direct/tests/dispatcher/fixture.rs
+++ b/crates/direct/tests/dispatcher/fixture.rs
@@ -9,6 +9,7 @@
 use eelgrassramp::RouteName;
 use eelgrassramp::VersionName;
 use eelgrassramp_direct::dispatcher::DispatchRequest;
+use eelgrassramp_direct::dispatcher::Dispatcher;
 use eelgrassramp_direct::dispatcher::Grant;
 use eelgrassramp_direct::dispatcher::QueueEvent;
 use eelgrassramp_direct::dispatcher::SubmitResult;
@@ -83,6 +84,29 @@
     }
 }
 
+/// Returns the names of the endpoints that were granted, in order.
+pub fn granted_endpoints(placements: impl IntoIterator<Item = SubmitResult>) -> Vec<EndpointName> {
+    let grants = placements.into_iter().filter_map(granted);
+    grants.map(|grant| grant.endpoint.name.clone()).collect()
+}
+
+/// Submits a request and dispatches queued ones; returns all grants.
+pub fn submit_and_dispatch(
+    dispatcher: &mut Dispatcher,
+    now: Monotonic,
+    request: DispatchRequest,
+) -> Vec<Grant> {
+    let mut grants: Vec<_> = granted(dispatcher.submit(now, request))
+        .into_iter()
+        .collect();
+    let events = dispatcher.dispatch_queued(now).into_iter();
+    grants.extend(events.filter_map(|event| match event {
+        QueueEvent::Granted(_, grant) => Some(grant),
+        QueueEvent::Refused(..) => None,
+    }));
+    grants
+}
+
 /// Returns the requests that were granted an endpoint.
 pub fn granted_seqs(events: &[QueueEvent]) -> Vec<u64> {
     let granted = events.iter().filter_map(|event| match event {
--- a/crates/direct/tests/dispatcher/rate_limit.rs
+++ b/crates/direct/tests/dispatcher/rate_limit.rs
@@ -26,9 +26,11 @@
 use super::fixture::EXPOSURE;
 use super::fixture::at;
 use super::fixture::granted;
+use super::fixture::granted_endpoints;
 use super::fixture::granted_seqs;
 use super::fixture::request;
 use super::fixture::rollout_order;
+use super::fixture::submit_and_dispatch;
 
 const SLOTS: u32 = 16;
 
@@ -124,19 +126,8 @@
     fn send_one(&mut self, ms: u64) {
         let i = self.busy[self.rng.random_range(0..self.busy.len())];
         self.seq += 1;
-        let entry = &mut self.fleet[i];
-        let mut grants: Vec<_> = granted(entry.submit(at(ms), request(self.seq, 0, ms)))
-            .into_iter()
-            .collect();
-        grants.extend(
-            entry
-                .dispatch_queued(at(ms))
-                .into_iter()
-                .filter_map(|event| match event {
-                    QueueEvent::Granted(_, grant) => Some(grant),
-                    QueueEvent::Refused(..) => None,
-                }),
-        );
+        let next = request(self.seq, 0, ms);
+        let grants = submit_and_dispatch(&mut self.fleet[i], at(ms), next);
         for grant in grants {
             let arrives = ms + self.rng.random_range(0..20);
             self.arrivals.push((arrives, i));
@@ -346,11 +337,11 @@
     let mut entry = fleet(1, &endpoints).remove(0);
     entry.set_rate_limit(at(0), &endpoints[0], 1.0);
 
-    let sent: Vec<_> = (0..16)
-        .filter_map(|seq| granted(entry.submit(at(10), request(seq, 0, 10))))
-        .map(|grant| grant.endpoint.name.clone())
+    let submitted: Vec<_> = (0..16)
+        .map(|seq| entry.submit(at(10), request(seq, 0, 10)))
         .collect();
 
+    let sent = granted_endpoints(submitted);
     let limited = sent.iter().filter(|name| **name == endpoints[0].name);
     expect_that!(sent, len(eq(16)));
     expect_that!(limited.count(), le(1));
@@ -371,14 +362,9 @@
         ..request(seq, 0, 100)
     };
 
-    let first = granted(entry.submit(at(100), chosen_for_new(1)));
-    let second = granted(entry.submit(at(100), chosen_for_new(2)));
+    let submitted = [1, 2].map(|seq| entry.submit(at(100), chosen_for_new(seq)));
 
-    let names: Vec<_> = [first, second]
-        .into_iter()
-        .flatten()
-        .map(|grant| grant.endpoint.name.clone())
-        .collect();
+    let names = granted_endpoints(submitted);
     expect_that!(names, elements_are![eq(&new.name), eq(&old.name)]);
 }
 
