A raised rate limit takes effect at once

An entry stored when its next request was due. After a limit of nearly nothing that is up to 10 s ahead for the sender and, in a large fleet, a quarter of an hour for entries on standby, so a limit that rose in the meantime was not used. The time of the last request is stored now, and the interval of the limit in force is added to it. The test failed before: the second request was queued.

A successful response without a limit now costs no lookup while no endpoint has named one.

--- a/crates/direct/src/dispatcher/incarnation_records.rs
+++ b/crates/direct/src/dispatcher/incarnation_records.rs
@@ -38,6 +38,11 @@
 }
 
 impl<T: Default> IncarnationRecords<T> {
+    /// Returns whether there are no records.
+    pub(super) fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// Returns the record of an incarnation.
     pub(super) fn get(&self, key: IncarnationKey) -> Option<&T> {
         self.records.get(&key).map(|record| &record.value)
--- a/crates/direct/src/dispatcher/rate_limit.rs
+++ b/crates/direct/src/dispatcher/rate_limit.rs
@@ -62,8 +62,9 @@
     ended_at: Option<Monotonic>,
     /// Whether a response to this entry ended it.
     is_end_observed: bool,
-    /// When the next request of this entry is due, according to the pace of its share.
-    next_due: Monotonic,
+    /// When the last request of this entry was due, according to the pace of its share; `None` if it
+    /// has sent none.
+    last_due: Option<Monotonic>,
 }
 
 impl RateLimitRecord {
@@ -84,13 +85,6 @@
     }
 }
 
-/// When this entry may send its next request to an endpoint, and how long the one after it has to
-/// wait.
-struct Pace {
-    not_before: Monotonic,
-    interval: Duration,
-}
-
 /// The rate limits of all endpoints known to one entry.
 #[derive(Debug, Default)]
 pub(super) struct RateLimits {
@@ -98,6 +92,11 @@
 }
 
 impl RateLimits {
+    /// Returns whether no endpoint has named a limit of late.
+    fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// Returns the limit in force for an incarnation, in requests per second.
     pub(super) fn per_second(&self, key: IncarnationKey) -> Option<f64> {
         self.records.get(key)?.per_second
@@ -110,8 +109,8 @@
         tracker: &EndpointTracker,
         context: &EntryContext,
     ) -> bool {
-        let pace = self.pace(tracker, context);
-        pace.is_none_or(|pace| pace.not_before <= now + BURST_TIME)
+        let not_before = self.earliest_dispatch(tracker, context);
+        not_before.is_none_or(|at| at <= now + BURST_TIME)
     }
 
     /// Records that a request was granted an endpoint.
@@ -121,29 +120,29 @@
         tracker: &EndpointTracker,
         context: &EntryContext,
     ) {
-        if let Some(Pace { interval, .. }) = self.pace(tracker, context) {
+        if let Some(not_before) = self.earliest_dispatch(tracker, context) {
             let record = self.records.update(now, tracker.incarnation());
-            record.next_due = record.next_due.max(now) + interval;
+            record.last_due = Some(not_before.max(now));
         }
     }
 
-    /// Returns the pace of this entry for an endpoint with a limit.
-    fn pace(&self, tracker: &EndpointTracker, context: &EntryContext) -> Option<Pace> {
+    /// Returns when this entry may send its next request to an endpoint; `None` if that has no limit.
+    fn earliest_dispatch(
+        &self,
+        tracker: &EndpointTracker,
+        context: &EntryContext,
+    ) -> Option<Monotonic> {
         let record = self.records.get(tracker.incarnation())?;
         let per_second = record.per_second?.max(MIN_PER_SECOND);
-        Some(match context.rate_share(tracker.endpoint(), per_second) {
-            RateShare::Sender { interval } => Pace {
-                not_before: record.next_due,
-                interval,
-            },
+        let (resumes_at, interval) = match context.rate_share(tracker.endpoint(), per_second) {
+            RateShare::Sender { interval } => (Monotonic::ZERO, interval),
             RateShare::Standby { interval, phase } => {
-                let resumes_at = record.confirmed_at + STANDBY_DELAY + interval.mul_f64(phase);
-                Pace {
-                    not_before: record.next_due.max(resumes_at),
-                    interval,
-                }
+                let delay = STANDBY_DELAY + interval.mul_f64(phase);
+                (record.confirmed_at + delay, interval)
             }
-        })
+        };
+        let next_due = record.last_due.map_or(Monotonic::ZERO, |at| at + interval);
+        Some(next_due.max(resumes_at))
     }
 
     /// Records a limit that the endpoint named to this entry; returns whether it was another one
@@ -237,6 +236,9 @@
         endpoint: &Endpoint,
         sent_at: Monotonic,
     ) -> bool {
+        if self.rate_limits.is_empty() {
+            return false;
+        }
         let key = IncarnationKey::from(endpoint);
         self.rate_limits.end(now, key, sent_at)
     }
--- a/crates/direct/tests/dispatcher/rate_limit.rs
+++ b/crates/direct/tests/dispatcher/rate_limit.rs
@@ -309,6 +309,20 @@
     expect_that!(entry.rate_limited_count(), eq(1));
 }
 
+#[gtest]
+fn a_raised_limit_takes_effect_at_once() {
+    let endpoint = endpoint("e");
+    let mut entry = fleet(1, &[Arc::clone(&endpoint)]).remove(0);
+    entry.set_rate_limit(at(0), &endpoint, 0.0);
+    let before = granted(entry.submit(at(0), request(1, 0, 0)));
+
+    entry.set_rate_limit(at(1_000), &endpoint, 5.0);
+    let after = granted(entry.submit(at(1_500), request(2, 0, 1_500)));
+
+    expect_that!(before.is_some(), eq(true));
+    expect_that!(after.is_some(), eq(true));
+}
+
 #[gtest]
 fn a_limit_survives_a_gap_in_the_registry_and_ends_with_a_restart() {
     let endpoint = endpoint("e");
