Observability: retries that the budget allowed and denied

Nothing told how many retries an entry sent, how many it did without, and by how many entries it divided the budget. Adds two metrics by pool and a log line for a denied retry.

--- a/crates/direct/src/entry/budget.rs
+++ b/crates/direct/src/entry/budget.rs
@@ -7,6 +7,7 @@
 use super::Entry;
 use crate::quota::RequestCost;
 use crate::refusal::Refusal;
+use crate::request_log::RequestLogContext;
 use crate::tables::Account;
 
 impl Entry {
@@ -18,13 +19,18 @@
         budget.count_request(now, &self.limits.load().retry);
     }
 
-    /// Spends one retry from the budget of `pool`; returns false when none is left.
-    pub(crate) fn try_spend_retry(&self, pool: &PoolName) -> bool {
+    /// Spends one retry of a request from the budget of `pool`; returns false when none is left.
+    pub(crate) fn try_spend_retry(&self, pool: &PoolName, request_log: &RequestLogContext) -> bool {
         let now = self.cx.timers.now();
         let mut state = self.lock();
         let entries = state.quotas.entry_count();
         let budget = state.retry_budgets.entry(pool.clone()).or_default();
-        budget.try_spend(now, &self.limits.load().retry, entries)
+        let is_allowed = budget.try_spend(now, &self.limits.load().retry, entries);
+        drop(state);
+        if !is_allowed {
+            request_log.retry_denied(self, entries);
+        }
+        is_allowed
     }
 
     /// Charges a request's units to its account's quota.
--- a/crates/direct/src/entry/state.rs
+++ b/crates/direct/src/entry/state.rs
@@ -67,12 +67,15 @@
         }
         for (pool, budget) in &self.retry_budgets {
             let left = budget.remaining(now, limits, entries);
-            gauges.push(Gauge::with_label(
-                "repeats_left",
-                "pool",
-                pool.as_str(),
-                left,
-            ));
+            let totals = budget.totals();
+            let values = [
+                ("repeats_left", left),
+                ("repeats_allowed", totals.allowed as f64),
+                ("repeats_denied", totals.denied as f64),
+            ];
+            for (name, value) in values {
+                gauges.push(Gauge::with_label(name, "pool", pool.as_str(), value));
+            }
         }
         for left in self.quotas.remaining(now) {
             let name = left.account.as_str();
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -202,7 +202,7 @@
     }
 
     fn try_spend_retry(&self) -> bool {
-        self.entry.try_spend_retry(&self.pool)
+        self.entry.try_spend_retry(&self.pool, &self.request_log)
     }
 
     fn time_left(&self) -> Duration {
--- a/crates/direct/src/request_log.rs
+++ b/crates/direct/src/request_log.rs
@@ -210,6 +210,19 @@
             "after_ms" => millis(now.since(self.arrived)));
     }
 
+    /// Logs a retry that was not sent because the budget is used up, with the number of entries that
+    /// the budget was divided by.
+    pub(crate) fn retry_denied(&self, entry: &Entry, entries: u32) {
+        let now = entry.cx().timers.now();
+        if !entry.log_limiter().allows(now, LogLineKind::Failed) {
+            return;
+        }
+        info!(entry.cx().log, "no retry, the budget is used up";
+            "request" => &*self.id, "route" => self.route.as_str(),
+            "pool" => self.pool.as_ref().map(PoolName::as_str), "entries" => entries,
+            "after_ms" => millis(now.since(self.arrived)));
+    }
+
     /// Logs and counts a request that this entry refused with an error.
     pub(crate) fn refused(
         &self,
--- a/crates/direct/src/retry.rs
+++ b/crates/direct/src/retry.rs
@@ -30,6 +30,16 @@
 pub struct RetryBudget {
     requests: VecDeque<Monotonic>,
     retries: VecDeque<Monotonic>,
+    totals: RetryTotals,
+}
+
+/// Retries of one pool since the process started.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RetryTotals {
+    /// Retries that the budget allowed.
+    pub allowed: u64,
+    /// Retries that the budget did not allow.
+    pub denied: u64,
 }
 
 impl RetryBudget {
@@ -45,10 +55,19 @@
         self.drop_expired(now, limits);
         if is_allowed {
             self.retries.push_back(now);
+            self.totals.allowed += 1;
+        } else {
+            self.totals.denied += 1;
         }
         is_allowed
     }
 
+    /// Returns the number of retries since the process started.
+    #[must_use]
+    pub const fn totals(&self) -> RetryTotals {
+        self.totals
+    }
+
     /// Returns the number of retries left.
     #[must_use]
     pub fn remaining(&self, now: Monotonic, limits: &RetryLimits, entries: u32) -> f64 {
