Retry budget as a token bucket, empty in a restarted process

Callers saw nothing of it; endpoints that already failed received more retries than the operator allows for all entries together.

Cause: each entry kept a window of its own requests and retries. A restarted process began with none of its predecessor's retries, so an entry could use its whole budget twice within one window, and a budget earned in one window could be used up just before the callers moved to another entry, which then used its own.

Ruled out: failures that are not counted as arrivals (the entries' own counts exceeded the limit in the tests that fail).

Change: a token bucket for each pool, refilled by requests and time, with a capacity of a quarter of the limit. In any window the sum is at most the capacity and what is refilled in it. A restarted process begins with an empty bucket; on the first start of the fleet it is full, since nothing was sent before.

A fleet whose requests all fail still uses over 60 % of the limit.

--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -73,6 +73,8 @@
     pub domain: DomainName,
     /// Distinguishes successive processes of the same entry.
     pub incarnation: u64,
+    /// Whether the whole fleet starts for the first time, so that no earlier process sent anything.
+    pub is_first_start: bool,
 }
 
 /// Limits that apply to the fleet, which is all entries together.
@@ -304,8 +306,7 @@
             Gauge::new("tables_version", self.tables_version() as f64),
             Gauge::new("endpoints", self.endpoints.load().len() as f64),
         ];
-        let retry_limits = self.limits.load().retry;
-        gauges.extend(self.lock().gauges(now, &retry_limits));
+        gauges.extend(self.lock().gauges(now));
         gauges
     }
 
--- a/crates/direct/src/entry/budget.rs
+++ b/crates/direct/src/entry/budget.rs
@@ -15,8 +15,9 @@
     pub(crate) fn count_request(&self, pool: &PoolName) {
         let now = self.cx.timers.now();
         let mut state = self.lock();
-        let budget = state.retry_budgets.entry(pool.clone()).or_default();
-        budget.count_request(now, &self.limits.load().retry);
+        let entries = state.quotas.entry_count();
+        let budget = state.retry_budget(pool, self.identity.is_first_start);
+        budget.count_request(now, &self.limits.load().retry, entries);
     }
 
     /// Spends one retry of a request from the budget of `pool`; returns false when none is left.
@@ -24,7 +25,7 @@
         let now = self.cx.timers.now();
         let mut state = self.lock();
         let entries = state.quotas.entry_count();
-        let budget = state.retry_budgets.entry(pool.clone()).or_default();
+        let budget = state.retry_budget(pool, self.identity.is_first_start);
         let is_allowed = budget.try_spend(now, &self.limits.load().retry, entries);
         drop(state);
         if !is_allowed {
--- a/crates/direct/src/entry/state.rs
+++ b/crates/direct/src/entry/state.rs
@@ -18,7 +18,6 @@
 use crate::quota::Quotas;
 use crate::registry::KnownEndpoints;
 use crate::retry::RetryBudget;
-use crate::retry::RetryLimits;
 use crate::rollout::Report;
 
 /// Mutable state that the requests of an entry share.
@@ -38,7 +37,7 @@
 
 impl State {
     /// Returns gauges of queues, in-flight requests, endpoints, quotas and retry budgets.
-    pub(super) fn gauges(&self, now: Monotonic, limits: &RetryLimits) -> Vec<Gauge> {
+    pub(super) fn gauges(&self, now: Monotonic) -> Vec<Gauge> {
         let in_flight = self.dispatcher.in_flight();
         let in_flight: u32 = in_flight.iter().map(|(_, n)| n).sum();
         let entries = self.quotas.entry_count();
@@ -66,10 +65,9 @@
             gauges.push(Gauge::with_label("waiting", "pool", pool.as_str(), queued));
         }
         for (pool, budget) in &self.retry_budgets {
-            let left = budget.remaining(now, limits, entries);
             let totals = budget.totals();
             let values = [
-                ("repeats_left", left),
+                ("repeats_left", budget.remaining()),
                 ("repeats_allowed", totals.allowed as f64),
                 ("repeats_denied", totals.denied as f64),
             ];
@@ -95,6 +93,22 @@
         gauges
     }
 
+    /// Returns the retry budget of `pool`, which is full only in a process without a predecessor.
+    pub(super) fn retry_budget(
+        &mut self,
+        pool: &PoolName,
+        is_first_start: bool,
+    ) -> &mut RetryBudget {
+        let initial = if is_first_start {
+            RetryBudget::full
+        } else {
+            RetryBudget::empty
+        };
+        self.retry_budgets
+            .entry(pool.clone())
+            .or_insert_with(initial)
+    }
+
     /// Decides how rollouts proceed and returns the reports for operators.
     pub(super) fn decide_rollouts(&mut self, now: Monotonic) -> Vec<Report> {
         if now < self.rollout_decisions_from {
--- a/crates/direct/src/retry.rs
+++ b/crates/direct/src/retry.rs
@@ -18,20 +18,15 @@
     pub slack: f64,
 }
 
-/// Fraction of the limits that is used; the rest is a safety margin, because whoever
-/// measures the retries may count some requests differently from the entries.
-const USED_RATIO: f64 = 0.8;
+/// Fraction of the limits that an entry may keep unused for a burst of retries.
+const BURST_RATIO: f64 = 0.25;
 
-/// Retry budget of one entry for one pool.
+/// Fraction of the limits at which the budget refills.
 ///
-/// An entry may retry in proportion to its own requests and has an equal share of the slack, so
-/// the sum over all entries stays within the limits without any communication.
-#[derive(Debug, Default)]
-pub struct RetryBudget {
-    requests: VecDeque<Monotonic>,
-    retries: VecDeque<Monotonic>,
-    totals: RetryTotals,
-}
+/// Retries in any window are at most the burst and what is refilled in that window. Both fractions
+/// together leave a safety margin, because whoever measures the retries may count some requests
+/// differently from the entries.
+const REFILL_RATIO: f64 = 0.65;
 
 /// Retries of one pool since the process started.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -42,19 +37,60 @@
     pub denied: u64,
 }
 
+/// Retry budget of one entry for one pool: a token bucket that its own requests refill, and an equal
+/// share of the slack.
+///
+/// The sum over all entries stays within the limits without any communication, also when callers
+/// move from one entry to another. A restarted process must begin with an empty bucket, because its
+/// predecessor may have emptied a full one just before. See `docs/design/platform.md`.
+#[derive(Debug)]
+pub struct RetryBudget {
+    /// Retries that may be sent; an excess over the capacity is dropped by the next update.
+    tokens: f64,
+    updated_at: Option<Monotonic>,
+    /// Requests of the last window.
+    requests: VecDeque<Monotonic>,
+    totals: RetryTotals,
+}
+
 impl RetryBudget {
-    /// Counts a first attempt.
-    pub fn count_request(&mut self, now: Monotonic, limits: &RetryLimits) {
-        self.drop_expired(now, limits);
+    /// Creates an empty budget, which requests and time refill.
+    #[must_use]
+    pub const fn empty() -> Self {
+        Self::with_tokens(0.0)
+    }
+
+    /// Creates a full budget, for a process without a predecessor.
+    #[must_use]
+    pub const fn full() -> Self {
+        Self::with_tokens(f64::INFINITY)
+    }
+
+    const fn with_tokens(tokens: f64) -> Self {
+        Self {
+            tokens,
+            updated_at: None,
+            requests: VecDeque::new(),
+            totals: RetryTotals {
+                allowed: 0,
+                denied: 0,
+            },
+        }
+    }
+
+    /// Counts a first attempt; `entries` is the number of entries that share the slack.
+    pub fn count_request(&mut self, now: Monotonic, limits: &RetryLimits, entries: u32) {
+        self.update(now, limits, entries);
         self.requests.push_back(now);
+        self.tokens += REFILL_RATIO * limits.ratio;
     }
 
     /// Spends one retry if the budget allows it, and returns whether it did.
     pub fn try_spend(&mut self, now: Monotonic, limits: &RetryLimits, entries: u32) -> bool {
-        let is_allowed = self.remaining(now, limits, entries) >= 1.0;
-        self.drop_expired(now, limits);
+        self.update(now, limits, entries);
+        let is_allowed = self.tokens >= 1.0;
         if is_allowed {
-            self.retries.push_back(now);
+            self.tokens -= 1.0;
             self.totals.allowed += 1;
         } else {
             self.totals.denied += 1;
@@ -68,26 +104,27 @@
         self.totals
     }
 
-    /// Returns the number of retries left.
+    /// Returns the number of retries left at the last update.
     #[must_use]
-    pub fn remaining(&self, now: Monotonic, limits: &RetryLimits, entries: u32) -> f64 {
-        let count_recent = |times: &VecDeque<Monotonic>| {
-            let recent = times.iter().filter(|at| now.since(**at) <= limits.window);
-            recent.count() as f64
-        };
-        let proportional = limits.ratio * count_recent(&self.requests);
-        let own_slack = limits.slack / f64::from(entries.max(1));
-        USED_RATIO * (proportional + own_slack) - count_recent(&self.retries)
+    pub const fn remaining(&self) -> f64 {
+        self.tokens
     }
 
-    fn drop_expired(&mut self, now: Monotonic, limits: &RetryLimits) {
-        for times in [&mut self.requests, &mut self.retries] {
-            while times
-                .front()
-                .is_some_and(|at| now.since(*at) > limits.window)
-            {
-                times.pop_front();
-            }
+    /// Refills the budget for the time since the last update, up to its capacity.
+    fn update(&mut self, now: Monotonic, limits: &RetryLimits, entries: u32) {
+        while self
+            .requests
+            .front()
+            .is_some_and(|at| now.since(*at) > limits.window)
+        {
+            self.requests.pop_front();
         }
+        let own_slack = limits.slack / f64::from(entries.max(1));
+        let elapsed = self.updated_at.map_or(Duration::ZERO, |at| now.since(at));
+        self.updated_at = Some(now);
+        let windows = elapsed.as_secs_f64() / limits.window.as_secs_f64();
+        let refilled = self.tokens + REFILL_RATIO * own_slack * windows;
+        let capacity = BURST_RATIO * (limits.ratio * self.requests.len() as f64 + own_slack);
+        self.tokens = refilled.min(capacity);
     }
 }
--- a/crates/direct/tests/retry.rs
+++ b/crates/direct/tests/retry.rs
@@ -50,10 +50,15 @@
 
 impl Process {
     fn start(now_ms: u64, known_entries: u32) -> Self {
+        let budget = if now_ms == 0 {
+            RetryBudget::full()
+        } else {
+            RetryBudget::empty()
+        };
         Self {
             started_ms: now_ms,
             known_entries,
-            budget: RetryBudget::default(),
+            budget,
             queued_ms: Vec::new(),
         }
     }
@@ -65,7 +70,7 @@
 
     fn receive(&mut self, now_ms: u64, is_failing: bool) {
         let now = self.now(now_ms);
-        self.budget.count_request(now, &LIMITS);
+        self.budget.count_request(now, &LIMITS, self.known_entries);
         if is_failing && self.budget.try_spend(now, &LIMITS, self.known_entries) {
             self.queued_ms.push(now_ms);
         }
@@ -88,6 +93,10 @@
     restarts: Vec<(u64, usize, u32)>,
     /// Times during which no endpoint is free.
     blocked: Vec<Range<u64>>,
+    /// Time until which the callers use only the first half of the entries, and then only the others.
+    callers_move_ms: Option<u64>,
+    /// Time from which requests fail.
+    failing_from_ms: u64,
 }
 
 impl Scenario {
@@ -97,8 +106,21 @@
             rate,
             restarts: Vec::new(),
             blocked: Vec::new(),
+            callers_move_ms: None,
+            failing_from_ms: 0,
         }
     }
+
+    /// Returns the probability that an entry receives a request in one time step.
+    fn arrival_probability(&self, entry: usize, now_ms: u64) -> f64 {
+        let is_first_half = entry < self.entries as usize / 2;
+        let share = match self.callers_move_ms {
+            None => 1.0,
+            Some(at_ms) if is_first_half == (now_ms < at_ms) => 2.0,
+            Some(_) => 0.0,
+        };
+        share * self.rate * STEP_MS as f64 / 1_000.0
+    }
 }
 
 /// Requests and retries of all entries by time step.
@@ -130,10 +152,12 @@
                 .iter()
                 .any(|during| during.contains(&now_ms));
             let (mut requests, mut retries) = (0, 0);
-            for process in &mut processes {
-                if rng.random_bool(scenario.rate * STEP_MS as f64 / 1_000.0) {
+            for (entry, process) in processes.iter_mut().enumerate() {
+                if rng.random_bool(scenario.arrival_probability(entry, now_ms)) {
                     requests += 1;
-                    process.receive(now_ms, rng.random_bool(FAILURE_RATIO));
+                    let is_failing =
+                        now_ms >= scenario.failing_from_ms && rng.random_bool(FAILURE_RATIO);
+                    process.receive(now_ms, is_failing);
                 }
                 if !is_blocked {
                     retries += process.send_queued(now_ms);
@@ -263,6 +287,28 @@
         for seed in 0..5 {
             let scenario = Scenario {
                 blocked: vec![20_000..24_400, 34_000..38_400],
+                failing_from_ms: 20_000,
+                ..Scenario::calm(entries, rate)
+            };
+
+            let excess = Counts::play(&scenario, seed).largest_excess();
+
+            expect_that!(
+                excess,
+                le(0.0),
+                "{entries} entries at {rate}/s, seed {seed}"
+            );
+        }
+    }
+}
+
+#[gtest]
+fn retries_keep_to_the_budget_when_callers_move_to_other_entries() {
+    for (entries, rate) in SIZES {
+        for seed in 0..5 {
+            let scenario = Scenario {
+                callers_move_ms: Some(20_000),
+                failing_from_ms: 18_000,
                 ..Scenario::calm(entries, rate)
             };
 
