No part of the retry slack before the list of entries is known

Cause: the slack is divided by the number of known entries, and a process that has not read the list, because the store cannot be reached or the others have just restarted too, divided it by one. Each such process used all of it.

Change: until the first list of entries arrives, a process retries in proportion to its requests only.

--- a/crates/direct/src/dispatcher/peer_entries.rs
+++ b/crates/direct/src/dispatcher/peer_entries.rs
@@ -153,6 +153,12 @@
         self.context.peer_entries.set(now, names);
     }
 
+    /// Returns whether the list of the entries that share endpoints with this one was ever received.
+    #[must_use]
+    pub const fn has_peer_entries(&self) -> bool {
+        self.context.peer_entries.listed_at.is_some()
+    }
+
     /// Sets the failure domain of one of the other entries.
     pub fn set_peer_domain(&mut self, name: &EntryName, domain: &DomainName) {
         self.context.peer_entries.set_domain(name, domain);
--- a/crates/direct/src/entry/budget.rs
+++ b/crates/direct/src/entry/budget.rs
@@ -15,7 +15,7 @@
     pub(crate) fn count_request(&self, pool: &PoolName) {
         let now = self.cx.timers.now();
         let mut state = self.lock();
-        let entries = state.quotas.entry_count();
+        let entries = state.listed_entry_count();
         let budget = state.retry_budget(pool, self.identity.is_first_start);
         budget.count_request(now, &self.limits.load().retry, entries);
     }
@@ -24,7 +24,7 @@
     pub(crate) fn try_spend_retry(&self, pool: &PoolName, request_log: &RequestLogContext) -> bool {
         let now = self.cx.timers.now();
         let mut state = self.lock();
-        let entries = state.quotas.entry_count();
+        let entries = state.listed_entry_count();
         let budget = state.retry_budget(pool, self.identity.is_first_start);
         let is_allowed = budget.try_spend(now, &self.limits.load().retry, entries);
         drop(state);
--- a/crates/direct/src/entry/state.rs
+++ b/crates/direct/src/entry/state.rs
@@ -93,6 +93,12 @@
         gauges
     }
 
+    /// Returns the number of entries, or `None` before the first list of them.
+    pub(super) fn listed_entry_count(&self) -> Option<u32> {
+        let is_listed = self.dispatcher.has_peer_entries();
+        is_listed.then(|| self.quotas.entry_count())
+    }
+
     /// Returns the retry budget of `pool`, which is full only in a process without a predecessor.
     pub(super) fn retry_budget(
         &mut self,
--- a/crates/direct/src/request_log.rs
+++ b/crates/direct/src/request_log.rs
@@ -211,8 +211,8 @@
     }
 
     /// Logs a retry that was not sent because the budget is used up, with the number of entries that
-    /// the budget was divided by.
-    pub(crate) fn retry_denied(&self, entry: &Entry, entries: u32) {
+    /// share its slack.
+    pub(crate) fn retry_denied(&self, entry: &Entry, entries: Option<u32>) {
         let now = entry.cx().timers.now();
         if !entry.log_limiter().allows(now, LogLineKind::Failed) {
             return;
--- a/crates/direct/src/retry.rs
+++ b/crates/direct/src/retry.rs
@@ -78,15 +78,20 @@
         }
     }
 
-    /// Counts a first attempt; `entries` is the number of entries that share the slack.
-    pub fn count_request(&mut self, now: Monotonic, limits: &RetryLimits, entries: u32) {
+    /// Counts a first attempt; `entries` is the number of entries that share the slack, if known.
+    pub fn count_request(&mut self, now: Monotonic, limits: &RetryLimits, entries: Option<u32>) {
         self.update(now, limits, entries);
         self.requests.push_back(now);
         self.tokens += REFILL_RATIO * limits.ratio;
     }
 
     /// Spends one retry if the budget allows it, and returns whether it did.
-    pub fn try_spend(&mut self, now: Monotonic, limits: &RetryLimits, entries: u32) -> bool {
+    pub fn try_spend(
+        &mut self,
+        now: Monotonic,
+        limits: &RetryLimits,
+        entries: Option<u32>,
+    ) -> bool {
         self.update(now, limits, entries);
         let is_allowed = self.tokens >= 1.0;
         if is_allowed {
@@ -111,7 +116,9 @@
     }
 
     /// Refills the budget for the time since the last update, up to its capacity.
-    fn update(&mut self, now: Monotonic, limits: &RetryLimits, entries: u32) {
+    ///
+    /// An entry that does not know how many others there are uses none of the slack.
+    fn update(&mut self, now: Monotonic, limits: &RetryLimits, entries: Option<u32>) {
         while self
             .requests
             .front()
@@ -119,7 +126,7 @@
         {
             self.requests.pop_front();
         }
-        let own_slack = limits.slack / f64::from(entries.max(1));
+        let own_slack = entries.map_or(0.0, |n| limits.slack / f64::from(n.max(1)));
         let elapsed = self.updated_at.map_or(Duration::ZERO, |at| now.since(at));
         self.updated_at = Some(now);
         let windows = elapsed.as_secs_f64() / limits.window.as_secs_f64();
--- a/crates/direct/tests/retry.rs
+++ b/crates/direct/tests/retry.rs
@@ -42,14 +42,14 @@
 /// Process of one entry.
 struct Process {
     started_ms: u64,
-    known_entries: u32,
+    known_entries: Option<u32>,
     budget: RetryBudget,
     /// Times from which queued retries wait for an endpoint.
     queued_ms: Vec<u64>,
 }
 
 impl Process {
-    fn start(now_ms: u64, known_entries: u32) -> Self {
+    fn start(now_ms: u64, known_entries: Option<u32>) -> Self {
         let budget = if now_ms == 0 {
             RetryBudget::full()
         } else {
@@ -89,8 +89,8 @@
     entries: u32,
     /// Requests per second and entry.
     rate: f64,
-    /// Times at which entries restart, and the number of entries that the new process knows.
-    restarts: Vec<(u64, usize, u32)>,
+    /// Times at which entries restart, and the number of entries that the new process was told.
+    restarts: Vec<(u64, usize, Option<u32>)>,
     /// Times during which no endpoint is free.
     blocked: Vec<Range<u64>>,
     /// Time until which the callers use only the first half of the entries, and then only the others.
@@ -133,7 +133,7 @@
     fn play(scenario: &Scenario, seed: u64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let mut processes: Vec<_> = (0..scenario.entries)
-            .map(|_| Process::start(0, scenario.entries))
+            .map(|_| Process::start(0, Some(scenario.entries)))
             .collect();
         let mut counts = Self {
             requests: Vec::new(),
@@ -195,7 +195,11 @@
 }
 
 /// Returns restarts of all entries, one after the other, twice.
-fn rolling_restarts(entries: u32, gap_ms: u64, known: u32) -> Vec<(u64, usize, u32)> {
+fn rolling_restarts(
+    entries: u32,
+    gap_ms: u64,
+    known: Option<u32>,
+) -> Vec<(u64, usize, Option<u32>)> {
     let order = (0..2).flat_map(|_| 0..entries as usize);
     let restarts = order
         .enumerate()
@@ -204,7 +208,7 @@
 }
 
 /// Returns restarts of all entries at once, twice within a window.
-fn herd_restarts(entries: u32, known: u32) -> Vec<(u64, usize, u32)> {
+fn herd_restarts(entries: u32, known: Option<u32>) -> Vec<(u64, usize, Option<u32>)> {
     let times = [20_000, 25_000];
     let restarts = times
         .into_iter()
@@ -239,8 +243,8 @@
 fn retries_of_restarted_processes_keep_to_the_budget() {
     for (entries, rate) in SIZES {
         for restarts in [
-            rolling_restarts(entries, 700, entries),
-            herd_restarts(entries, entries),
+            rolling_restarts(entries, 700, Some(entries)),
+            herd_restarts(entries, Some(entries)),
         ] {
             for seed in 0..5 {
                 let scenario = Scenario {
@@ -263,7 +267,7 @@
 #[gtest]
 fn retries_of_processes_that_know_no_others_keep_to_the_budget() {
     for (entries, rate) in SIZES {
-        let restarts = herd_restarts(entries, 1);
+        let restarts = herd_restarts(entries, None);
         for seed in 0..5 {
             let scenario = Scenario {
                 restarts: restarts.clone(),
