Retries that wait for an endpoint use up capacity of the budget

Cause: a retry was counted when it was decided. It may then be queued for a free endpoint, for up to 30 % of the request's timeout, and all retries that were decided in that time are sent when endpoints become free, together with those of the window that follows.

Change: a retry reserves a part of the budget, which lowers the bucket's capacity until the retry is sent. One that is never sent, because its caller leaves or it is refused, returns its part.

--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -31,6 +31,7 @@
 use slog::info;
 use tokio::sync::Notify;
 
+pub(crate) use self::budget::RetryPermit;
 use self::remote_load::PeerLoads;
 use self::state::State;
 pub use self::usage::SharedState;
--- a/crates/direct/src/entry/budget.rs
+++ b/crates/direct/src/entry/budget.rs
@@ -1,5 +1,7 @@
 //! Retry budgets and the quotas of client accounts.
 
+use std::sync::Arc;
+
 use eelgrassramp::AccountName;
 use eelgrassramp::Kind;
 use eelgrassramp::PoolName;
@@ -20,18 +22,27 @@
         budget.count_request(now, &self.limits.load().retry, entries);
     }
 
-    /// Spends one retry of a request from the budget of `pool`; returns false when none is left.
-    pub(crate) fn try_spend_retry(&self, pool: &PoolName, request_log: &RequestLogContext) -> bool {
+    /// Reserves one retry of a request in the budget of `pool`; returns `None` when none is left.
+    pub(crate) fn try_reserve_retry(
+        self: &Arc<Self>,
+        pool: &PoolName,
+        request_log: &RequestLogContext,
+    ) -> Option<RetryPermit> {
         let now = self.cx.timers.now();
         let mut state = self.lock();
         let entries = state.listed_entry_count();
         let budget = state.retry_budget(pool, self.identity.is_first_start);
-        let is_allowed = budget.try_spend(now, &self.limits.load().retry, entries);
+        let is_allowed = budget.try_reserve(now, &self.limits.load().retry, entries);
         drop(state);
         if !is_allowed {
             request_log.retry_denied(self, entries);
+            return None;
         }
-        is_allowed
+        Some(RetryPermit {
+            entry: Arc::clone(self),
+            pool: pool.clone(),
+            is_spent: false,
+        })
     }
 
     /// Charges a request's units to its account's quota.
@@ -58,3 +69,32 @@
         self.lock().quotas.refund(account, units);
     }
 }
+
+/// A retry that the budget allows; dropping it before it is spent returns it to the budget.
+#[derive(Debug)]
+pub(crate) struct RetryPermit {
+    entry: Arc<Entry>,
+    pool: PoolName,
+    is_spent: bool,
+}
+
+impl RetryPermit {
+    /// Spends the permit for a retry that is now sent.
+    pub(crate) fn spend(mut self) {
+        self.is_spent = true;
+    }
+}
+
+impl Drop for RetryPermit {
+    fn drop(&mut self) {
+        let mut state = self.entry.lock();
+        let Some(budget) = state.retry_budgets.get_mut(&self.pool) else {
+            return;
+        };
+        if self.is_spent {
+            budget.spend_reserved();
+        } else {
+            budget.cancel_reserved();
+        }
+    }
+}
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -27,6 +27,7 @@
 use crate::dispatcher::Grant;
 use crate::endpoint::Endpoint;
 use crate::entry::Entry;
+use crate::entry::RetryPermit;
 use crate::events::EventSplitter;
 use crate::lateness::LatencyObjective;
 use crate::lateness::RequestTimings;
@@ -81,6 +82,8 @@
     pub(crate) executions: u32,
     /// All attempts, executed or not.
     pub(crate) attempts: u32,
+    /// Whether an attempt may have reached its endpoint; further ones need the retry budget then.
+    pub(crate) may_have_arrived: bool,
     /// Endpoints of earlier attempts, including those that could not be connected to.
     pub(crate) attempted: Vec<EndpointName>,
     /// Id of the last event sent to the caller, when a stream is resumed.
@@ -107,7 +110,12 @@
     }
 
     /// Sends the request to endpoints until one responds or no retry is allowed.
-    pub(crate) async fn forward_with_retries(mut self) -> Result<Response<Relay>, Refusal> {
+    ///
+    /// `retry_permit` is given if the first attempt made here is a retry.
+    pub(crate) async fn forward_with_retries(
+        mut self,
+        mut retry_permit: Option<RetryPermit>,
+    ) -> Result<Response<Relay>, Refusal> {
         loop {
             let grant = match self.acquire_endpoint().await {
                 Ok(grant) => grant,
@@ -115,11 +123,11 @@
             };
             let attempt = self.attempts + 1;
             self.request_log.dispatched(&self.entry, &grant, attempt);
-            let failure = match self.send_once(&grant).await {
+            let failure = match self.send_once(&grant, &mut retry_permit).await {
                 Ok(resp) => return Ok(resp),
                 Err(failure) => failure,
             };
-            self.prepare_retry(&grant, failure)?;
+            self.prepare_retry(&grant, failure, &mut retry_permit)?;
         }
     }
 
@@ -127,13 +135,14 @@
     ///
     /// Returns `None` when no retry is allowed or the retry fails.
     pub(crate) async fn resume(mut self: Box<Self>, last: Option<u64>) -> Option<Relay> {
-        if self.executions >= self.route.max_executions || !self.try_spend_retry() {
+        if self.executions >= self.route.max_executions {
             return None;
         }
+        let retry_permit = self.try_reserve_retry()?;
         if last.is_some() {
             self.last_event = last;
         }
-        match self.forward_with_retries().await {
+        match self.forward_with_retries(Some(retry_permit)).await {
             Ok(resp) if resp.status().is_success() => Some(resp.into_body()),
             Ok(_) | Err(_) => None,
         }
@@ -178,8 +187,14 @@
         idle_limit.map_or(wait, |idle_limit| wait.min(idle_limit))
     }
 
-    /// Records a failed attempt; returns the refusal when the request must not be retried.
-    fn prepare_retry(&mut self, grant: &Grant, failure: AttemptFailure) -> Result<(), Refusal> {
+    /// Records a failed attempt and makes sure that there is a permit for the next one if it needs one;
+    /// returns the refusal when the request must not be retried.
+    fn prepare_retry(
+        &mut self,
+        grant: &Grant,
+        failure: AttemptFailure,
+        retry_permit: &mut Option<RetryPermit>,
+    ) -> Result<(), Refusal> {
         let AttemptFailure {
             error,
             is_unexecuted,
@@ -189,27 +204,35 @@
         self.attempted.push(grant.endpoint.name.clone());
         self.attempts += 1;
         self.executions += u32::from(!is_unexecuted);
+        self.may_have_arrived |= may_have_arrived;
         let may_execute_again = is_unexecuted || self.route.may_execute_again();
         let has_attempts_left = self.executions < self.route.max_executions.max(1)
             && self.attempts < MAX_TOTAL_ATTEMPTS;
         if !may_execute_again || !has_attempts_left || self.time_left().is_zero() {
             return Err(Refusal::from(error).with_prior_executions(self.executions));
         }
-        if may_have_arrived && !self.try_spend_retry() {
-            return Err(Refusal::from(error).with_prior_executions(self.executions));
+        if self.may_have_arrived && retry_permit.is_none() {
+            *retry_permit = self.try_reserve_retry();
+            if retry_permit.is_none() {
+                return Err(Refusal::from(error).with_prior_executions(self.executions));
+            }
         }
         Ok(())
     }
 
-    fn try_spend_retry(&self) -> bool {
-        self.entry.try_spend_retry(&self.pool, &self.request_log)
+    fn try_reserve_retry(&self) -> Option<RetryPermit> {
+        self.entry.try_reserve_retry(&self.pool, &self.request_log)
     }
 
     fn time_left(&self) -> Duration {
         self.deadline_at.since(self.entry.cx().timers.now())
     }
 
-    async fn send_once(&mut self, grant: &Grant) -> Result<Response<Relay>, AttemptFailure> {
+    async fn send_once(
+        &mut self,
+        grant: &Grant,
+        retry_permit: &mut Option<RetryPermit>,
+    ) -> Result<Response<Relay>, AttemptFailure> {
         let is_stream = matches!(self.route.kind, RouteKind::Streaming { .. });
         let request_log = self.request_log.clone();
         let entry = Arc::clone(&self.entry);
@@ -224,7 +247,9 @@
         };
         let mut in_flight =
             InFlightAttempt::new(entry, grant, is_stream, objective, timings, request_log);
-        let result = self.send_and_read_head(grant, &mut in_flight).await;
+        let result = self
+            .send_and_read_head(grant, &mut in_flight, retry_permit)
+            .await;
         match result {
             Ok((resp, head, connection)) => {
                 Ok(self.relay_response(resp, head, connection, in_flight))
@@ -241,6 +266,7 @@
         &self,
         grant: &Grant,
         in_flight: &mut InFlightAttempt,
+        retry_permit: &mut Option<RetryPermit>,
     ) -> Result<(Response<Incoming>, ResponseHead, Connection), AttemptFailure> {
         let endpoint = &*grant.endpoint;
         let connection = self.entry.connections().get(endpoint).await;
@@ -253,6 +279,9 @@
             return Err(AttemptFailure::deadline_expired());
         }
         let req = self.build_request(endpoint, time_left);
+        if let Some(retry_permit) = retry_permit.take() {
+            retry_permit.spend();
+        }
         let sent = connection.begin_request().try_send_request(req);
         let limit = self.response_timeout(time_left);
         let sent = self.entry.cx().timers.limit(limit, sent).await;
@@ -324,6 +353,7 @@
     ) -> Response<Relay> {
         self.executions += 1;
         self.attempts += 1;
+        self.may_have_arrived = true;
         self.attempted.push(in_flight.endpoint().name.clone());
         let (mut parts, body) = resp.into_parts();
         let is_success = parts.status.is_success();
--- a/crates/direct/src/handle.rs
+++ b/crates/direct/src/handle.rs
@@ -133,6 +133,7 @@
         pool,
         executions: 0,
         attempts: 0,
+        may_have_arrived: false,
         attempted: Vec::new(),
         last_event: None,
         request_log: request_log.clone(),
@@ -148,7 +149,7 @@
 
 /// Forwards the request and streams the body of the response.
 async fn forward(request: ForwardedRequest) -> Result<Response<ResponseBody>, Refusal> {
-    let resp = request.forward_with_retries().await?;
+    let resp = request.forward_with_retries(None).await?;
     let (parts, relay) = resp.into_parts();
     let frames = StreamBody::new(relay.into_frames());
     Ok(Response::from_parts(parts, Either::Right(frames)))
--- a/crates/direct/src/retry.rs
+++ b/crates/direct/src/retry.rs
@@ -47,6 +47,9 @@
 pub struct RetryBudget {
     /// Retries that may be sent; an excess over the capacity is dropped by the next update.
     tokens: f64,
+    /// Retries that were allowed and are not sent yet, because they wait for an endpoint. They use up
+    /// capacity, so that those of a long wait do not add to the burst.
+    reserved: u32,
     updated_at: Option<Monotonic>,
     /// Requests of the last window.
     requests: VecDeque<Monotonic>,
@@ -69,6 +72,7 @@
     const fn with_tokens(tokens: f64) -> Self {
         Self {
             tokens,
+            reserved: 0,
             updated_at: None,
             requests: VecDeque::new(),
             totals: RetryTotals {
@@ -85,8 +89,8 @@
         self.tokens += REFILL_RATIO * limits.ratio;
     }
 
-    /// Spends one retry if the budget allows it, and returns whether it did.
-    pub fn try_spend(
+    /// Reserves one retry if the budget allows it, and returns whether it did.
+    pub fn try_reserve(
         &mut self,
         now: Monotonic,
         limits: &RetryLimits,
@@ -96,6 +100,7 @@
         let is_allowed = self.tokens >= 1.0;
         if is_allowed {
             self.tokens -= 1.0;
+            self.reserved += 1;
             self.totals.allowed += 1;
         } else {
             self.totals.denied += 1;
@@ -103,6 +108,17 @@
         is_allowed
     }
 
+    /// Spends a reserved retry, which is now sent.
+    pub fn spend_reserved(&mut self) {
+        self.reserved = self.reserved.saturating_sub(1);
+    }
+
+    /// Returns a reserved retry that is not sent.
+    pub fn cancel_reserved(&mut self) {
+        self.reserved = self.reserved.saturating_sub(1);
+        self.tokens += 1.0;
+    }
+
     /// Returns the number of retries since the process started.
     #[must_use]
     pub const fn totals(&self) -> RetryTotals {
@@ -132,6 +148,6 @@
         let windows = elapsed.as_secs_f64() / limits.window.as_secs_f64();
         let refilled = self.tokens + REFILL_RATIO * own_slack * windows;
         let capacity = BURST_RATIO * (limits.ratio * self.requests.len() as f64 + own_slack);
-        self.tokens = refilled.min(capacity);
+        self.tokens = refilled.min(capacity - f64::from(self.reserved));
     }
 }
--- a/crates/direct/tests/retry.rs
+++ b/crates/direct/tests/retry.rs
@@ -71,16 +71,23 @@
     fn receive(&mut self, now_ms: u64, is_failing: bool) {
         let now = self.now(now_ms);
         self.budget.count_request(now, &LIMITS, self.known_entries);
-        if is_failing && self.budget.try_spend(now, &LIMITS, self.known_entries) {
+        if is_failing && self.budget.try_reserve(now, &LIMITS, self.known_entries) {
             self.queued_ms.push(now_ms);
         }
     }
 
     /// Sends all queued retries and returns their number.
     fn send_queued(&mut self, now_ms: u64) -> usize {
-        self.queued_ms
-            .retain(|queued_ms| now_ms - queued_ms <= MAX_QUEUE_WAIT_MS);
-        std::mem::take(&mut self.queued_ms).len()
+        let queued_ms = std::mem::take(&mut self.queued_ms);
+        let is_in_time = |queued_ms: &u64| now_ms - queued_ms <= MAX_QUEUE_WAIT_MS;
+        let (sent, expired): (Vec<_>, Vec<_>) = queued_ms.into_iter().partition(is_in_time);
+        for _ in &sent {
+            self.budget.spend_reserved();
+        }
+        for _ in &expired {
+            self.budget.cancel_reserved();
+        }
+        sent.len()
     }
 }
 
