Observability: prompt parts and chunks in the line of a failed attempt

No line told which prompts an endpoint was working on when it ended, nor how much of the response had arrived, so crashes could not be related to requests.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -150,7 +150,7 @@
     pub(crate) fn fail(&mut self, outcome: DispatchEnd, cause: &Error) {
         self.end(outcome);
         self.request_log
-            .attempt_failed(&self.entry, &self.endpoint, cause);
+            .attempt_failed(&self.entry, &self.endpoint, cause, self.chunks);
     }
 
     fn slowness(&self) -> f64 {
--- a/crates/direct/src/handle.rs
+++ b/crates/direct/src/handle.rs
@@ -65,6 +65,7 @@
         pool: None,
         rank: None,
         tables: 0,
+        prompt_parts: Arc::default(),
         arrived,
     };
     let mut resp = match process(&entry, &mut request_log, parts, body).await {
@@ -94,6 +95,7 @@
     check_framing(&parts)?;
     let request_head = entry.caller_protocol().decode(&parts)?;
     request_log.id = Arc::from(&*request_head.id);
+    request_log.prompt_parts = Arc::clone(&request_head.prompt_parts);
     let current_tables = entry
         .await_tables(INITIAL_TABLES_TIMEOUT)
         .await
--- a/crates/direct/src/protocol.rs
+++ b/crates/direct/src/protocol.rs
@@ -1,9 +1,11 @@
 //! Interfaces to the protocols of callers and endpoints, independent of their encoding.
 
 use std::fmt::Debug;
+use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrassramp::AccountName;
+use eelgrassramp::PromptPart;
 use eelgrassramp::Result;
 use http::HeaderMap;
 use http::request;
@@ -25,6 +27,8 @@
     pub prompt_tokens: Option<u64>,
     /// Maximum number of output tokens, if declared.
     pub output_tokens: Option<u64>,
+    /// Parts of the prompt in order, if declared; the last one belongs to this request alone.
+    pub prompt_parts: Arc<[PromptPart]>,
 }
 
 impl CallerRequestHead {
--- a/crates/direct/src/request_log.rs
+++ b/crates/direct/src/request_log.rs
@@ -12,6 +12,7 @@
 use eelgrassramp::Error;
 use eelgrassramp::Monotonic;
 use eelgrassramp::PoolName;
+use eelgrassramp::PromptPart;
 use eelgrassramp::RouteName;
 use eelgrassramp::lock;
 use eelgrassramp::num::millis;
@@ -177,6 +178,8 @@
     pub(crate) rank: Option<u32>,
     /// Version of the tables that the request was routed with.
     pub(crate) tables: u64,
+    /// Parts of its prompt in order.
+    pub(crate) prompt_parts: Arc<[PromptPart]>,
     pub(crate) arrived: Monotonic,
 }
 
@@ -198,8 +201,14 @@
             "waited_ms" => millis(now.since(self.arrived)));
     }
 
-    /// Logs an attempt in which an endpoint sent no complete response.
-    pub(crate) fn attempt_failed(&self, entry: &Entry, endpoint: &Endpoint, cause: &Error) {
+    /// Logs an attempt in which an endpoint sent no complete response, but `chunks` of it.
+    pub(crate) fn attempt_failed(
+        &self,
+        entry: &Entry,
+        endpoint: &Endpoint,
+        cause: &Error,
+        chunks: u32,
+    ) {
         let now = entry.cx().timers.now();
         if !entry.log_limiter().allows(now, LogLineKind::Failed) {
             return;
@@ -207,9 +216,15 @@
         info!(entry.cx().log, "attempt failed";
             "request" => &*self.id, "route" => self.route.as_str(),
             "endpoint" => endpoint.name.as_str(), "kind" => %cause.kind(), "cause" => %cause,
+            "pieces" => chunks, "prompt_parts" => self.prompt_part_list(),
             "after_ms" => millis(now.since(self.arrived)));
     }
 
+    fn prompt_part_list(&self) -> String {
+        let parts: Vec<_> = self.prompt_parts.iter().map(PromptPart::as_str).collect();
+        parts.join(",")
+    }
+
     /// Logs a retry that was not sent because the budget is used up, with the number of entries that
     /// share its slack.
     pub(crate) fn retry_denied(&self, entry: &Entry, entries: Option<u32>) {
--- a/crates/eelgrassramp/src/lib.rs
+++ b/crates/eelgrassramp/src/lib.rs
@@ -64,6 +64,7 @@
 pub use self::name::HardwareName;
 pub use self::name::MAX_NAME_BYTES;
 pub use self::name::PoolName;
+pub use self::name::PromptPart;
 pub use self::name::RouteName;
 pub use self::name::VersionName;
 pub use self::name::is_valid_name;
--- a/crates/eelgrassramp/src/name.rs
+++ b/crates/eelgrassramp/src/name.rs
@@ -78,6 +78,8 @@
     HardwareName,
     /// Name of an entry process.
     EntryName,
+    /// Identity of a part of a prompt, which several requests may share.
+    PromptPart,
 }
 
 /// Returns whether `name` is valid in tables and settings files.
