Requests with a prompt part that crashes endpoints are refused

Cause: an entry takes a crash for a failure of the endpoint, whatever it was running, and sends the next such request, or the retry of the same one, to another endpoint. No part of an entry related crashes to requests.

Change: entries record which prompts an endpoint was beginning to answer when it crashed, confirm the crash by a refused connection, exchange these records, and block the part that the crashes have in common unless responses to it succeed. Requests with one are refused at once, and checked again right before they are sent.

Why it works: the culprit was there in every crash and in no successful response. What ran beside it is cleared by its other responses, or by the crash being explained.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use eelgrassramp::Error;
+use eelgrassramp::Kind;
 use eelgrassramp::Monotonic;
 
+use crate::crash_attribution::UNSUSPECTED_CHUNKS;
 use crate::dispatcher::Grant;
 use crate::endpoint::Endpoint;
 use crate::endpoint::ReportedLoad;
@@ -100,6 +102,10 @@
     /// Records a chunk of `n` bytes of the response.
     pub(crate) fn count_chunk(&mut self, n: u64) {
         self.chunks += 1;
+        if self.chunks == UNSUSPECTED_CHUNKS {
+            self.entry
+                .record_prompt_survival(&self.request_log.prompt_parts);
+        }
         self.bytes += n;
         let now = self.entry.cx().timers.now();
         match self.last_chunk_at.replace(now) {
@@ -133,6 +139,10 @@
             }
         };
         self.end(outcome);
+        if !is_server_error {
+            self.entry
+                .record_prompt_survival(&self.request_log.prompt_parts);
+        }
         let ending = if is_server_error {
             Ending::EndpointFailed
         } else {
@@ -149,10 +159,22 @@
     /// Records that the attempt ended without a complete response.
     pub(crate) fn fail(&mut self, outcome: DispatchEnd, cause: &Error) {
         self.end(outcome);
+        self.record_loss(outcome, cause);
         self.request_log
             .attempt_failed(&self.entry, &self.endpoint, cause, self.chunks);
     }
 
+    /// Records the prompt as a possible cause if the endpoint broke the connection off when it may have
+    /// been beginning to respond.
+    fn record_loss(&self, outcome: DispatchEnd, cause: &Error) {
+        let was_sent = cause.kind() != Kind::ConnectFailed;
+        let was_beginning = self.chunks < UNSUSPECTED_CHUNKS;
+        if matches!(outcome, DispatchEnd::Disconnected) && was_sent && was_beginning {
+            self.entry
+                .record_loss(&self.endpoint, &self.request_log.prompt_parts);
+        }
+    }
+
     fn slowness(&self) -> f64 {
         let now = self.entry.cx().timers.now();
         if !self.is_stream {
--- a/crates/direct/src/connections.rs
+++ b/crates/direct/src/connections.rs
@@ -241,6 +241,19 @@
         drop(closed);
     }
 
+    /// Returns whether the endpoint refuses connections, which shows that its process has ended; `None`
+    /// if it does not respond. A connection that it accepts is kept for reuse.
+    pub async fn refuses_connections(&self, endpoint: &Endpoint) -> Option<bool> {
+        match self.open(IncarnationId::from(endpoint)).await {
+            Ok(connection) => {
+                self.put(connection, None);
+                Some(false)
+            }
+            Err(e) if e.kind() == std::io::ErrorKind::ConnectionRefused => Some(true),
+            Err(_) => None,
+        }
+    }
+
     fn take_idle(&self, key: &IncarnationId) -> Option<Connection> {
         let now = self.cx.timers.now();
         let mut idle = self.lock();
--- /dev/null
+++ b/crates/direct/src/crash_attribution.rs
@@ -0,0 +1,439 @@
+//! Attribution of endpoint crashes to parts of prompts.
+//!
+//! A part of a prompt may crash every endpoint that begins to answer a request with it. Whoever sends
+//! such requests on takes down one endpoint after the other, with all other requests that run there.
+//! Entries therefore record which prompts an endpoint was beginning to answer when it crashed, and
+//! exchange these records. A part that was there in several crashes and in no successful response
+//! since is blocked: requests with it are refused. See `docs/design/platform.md`, "Prompts that crash
+//! endpoints".
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassramp::Monotonic;
+use eelgrassramp::PromptPart;
+
+use crate::endpoint::IncarnationKey;
+
+/// Number of chunks of a response from which its prompt is not suspected in a crash: a part that
+/// crashes endpoints does so when the response begins.
+pub const UNSUSPECTED_CHUNKS: u32 = 8;
+
+/// Crashes after which a part is blocked.
+const MIN_CRASHES: usize = 3;
+
+/// Crashes after which a part is blocked that was in a successful response within [`MEMORY`].
+const MIN_CRASHES_AFTER_SURVIVAL: usize = 6;
+
+/// Number of different prompts in these crashes. With a single one, any of its parts could be the cause.
+const MIN_PROMPTS: usize = 2;
+
+/// Crashes within this time count as one, because endpoints that end together have another cause.
+const MIN_CRASH_SPACING: Duration = Duration::from_millis(50);
+
+/// Time after a crash before it is judged, in which the other entries report what they had sent to the
+/// endpoint.
+const SETTLE_TIME: Duration = Duration::from_millis(350);
+
+/// Time for which crashes and successful responses are remembered.
+const MEMORY: Duration = Duration::from_mins(1);
+
+/// Time within which a lost connection has to be recognized as a crash.
+const CONFIRMATION_TIME: Duration = Duration::from_secs(2);
+
+/// Time without requests with a blocked part after which it is no longer blocked.
+const BLOCK_TIME: Duration = Duration::from_mins(10);
+
+/// Time after a crash for which messages to other entries list it.
+const SHARE_DURATION: Duration = Duration::from_secs(5);
+
+/// Maximum number of crashes that are remembered.
+const MAX_CRASHES: usize = 512;
+
+/// Maximum number of prompts that are remembered for one crash, of this and of the other entries each.
+const MAX_SUSPECTS: usize = 64;
+
+/// Maximum number of parts whose successful responses are remembered.
+const MAX_SURVIVED_PARTS: usize = 16_384;
+
+/// Maximum number of blocked parts.
+const MAX_BLOCKED_PARTS: usize = 256;
+
+/// The parts of a prompt that other requests may share, and the identity of the whole prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Suspect {
+    /// Hash of all parts of the prompt.
+    pub prompt: u64,
+    /// All parts but the last, in order.
+    pub parts: Arc<[PromptPart]>,
+}
+
+impl Suspect {
+    /// Returns the suspect for a prompt with these parts; `None` if it shares none with others.
+    #[must_use]
+    pub fn of_prompt(parts: &[PromptPart]) -> Option<Self> {
+        let (_own, shared) = parts.split_last()?;
+        if shared.is_empty() {
+            return None;
+        }
+        let text = parts
+            .iter()
+            .fold(String::new(), |text, part| text + part.as_str() + ",");
+        Some(Self {
+            prompt: xxhash_rust::xxh3::xxh3_64(text.as_bytes()),
+            parts: shared.into(),
+        })
+    }
+
+    fn contains(&self, part: &PromptPart) -> bool {
+        self.parts.contains(part)
+    }
+}
+
+/// A crash, and the prompts that one entry had sent to the endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CrashReport {
+    /// The incarnation that crashed.
+    pub endpoint: IncarnationKey,
+    /// Time since the crash.
+    pub age: Duration,
+    /// The prompts that it was beginning to answer.
+    pub suspects: Vec<Suspect>,
+}
+
+/// What one entry tells the others about crashes.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CrashEvidence {
+    /// Recent crashes.
+    pub crashes: Vec<CrashReport>,
+    /// Suspected parts, each with the time since a successful response to a prompt with it.
+    pub survivals: Vec<(PromptPart, Duration)>,
+    /// Blocked parts.
+    pub blocked: Vec<PromptPart>,
+}
+
+impl CrashEvidence {
+    /// Returns whether there is nothing to tell.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.survivals.is_empty() && self.blocked.is_empty()
+    }
+}
+
+/// A part that was found to crash endpoints.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Attribution {
+    /// The part.
+    pub part: PromptPart,
+    /// Number of crashes in which it was there.
+    pub crashes: usize,
+    /// Number of different prompts in these crashes.
+    pub prompts: usize,
+}
+
+#[derive(Debug)]
+struct Crash {
+    at: Monotonic,
+    /// Whether the endpoint refused connections afterwards, here or at another entry.
+    is_confirmed: bool,
+    own_suspects: Vec<Suspect>,
+    peer_suspects: Vec<Suspect>,
+}
+
+impl Crash {
+    const fn new(at: Monotonic) -> Self {
+        Self {
+            at,
+            is_confirmed: false,
+            own_suspects: Vec::new(),
+            peer_suspects: Vec::new(),
+        }
+    }
+
+    fn suspects(&self) -> impl Iterator<Item = &Suspect> {
+        self.own_suspects.iter().chain(&self.peer_suspects)
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Block {
+    requested_at: Monotonic,
+    /// Whether this entry found it, and not another one.
+    is_own: bool,
+}
+
+/// Crashes in which a part was there.
+#[derive(Debug, Default)]
+struct Record<'a> {
+    crashes: Vec<Monotonic>,
+    prompts: HashSet<u64>,
+    /// Latest position in a prompt; the later of two parts that always occur together is more specific.
+    position: usize,
+    part: Option<&'a PromptPart>,
+}
+
+impl Record<'_> {
+    fn crash_count(&self) -> usize {
+        let mut times = self.crashes.clone();
+        times.sort_unstable();
+        times.dedup_by(|later, earlier| later.since(*earlier) < MIN_CRASH_SPACING);
+        times.len()
+    }
+}
+
+/// Crashes of endpoints, what they were answering then, and the parts that are blocked.
+#[derive(Debug, Default)]
+pub struct CrashAttribution {
+    crashes: HashMap<IncarnationKey, Crash>,
+    survived_at: HashMap<PromptPart, Monotonic>,
+    blocked: HashMap<PromptPart, Block>,
+}
+
+impl CrashAttribution {
+    /// Records that the connection of a request to an endpoint was lost; returns whether it should be
+    /// checked if the endpoint has crashed.
+    pub fn record_loss(&mut self, now: Monotonic, endpoint: IncarnationKey, lost: Suspect) -> bool {
+        let is_new = !self.crashes.contains_key(&endpoint);
+        let Some(crash) = self.crash_mut(now, endpoint) else {
+            return false;
+        };
+        if crash.own_suspects.len() < MAX_SUSPECTS && !crash.own_suspects.contains(&lost) {
+            crash.own_suspects.push(lost);
+        }
+        is_new
+    }
+
+    /// Records that an endpoint, to which connections were lost, refuses connections.
+    pub fn confirm_crash(&mut self, endpoint: IncarnationKey) {
+        if let Some(crash) = self.crashes.get_mut(&endpoint) {
+            crash.is_confirmed = true;
+        }
+    }
+
+    /// Records that an endpoint, to which connections were lost, accepts connections.
+    pub fn rule_out_crash(&mut self, endpoint: IncarnationKey) {
+        if self.crashes.get(&endpoint).is_some_and(|c| !c.is_confirmed) {
+            self.crashes.remove(&endpoint);
+        }
+    }
+
+    /// Records that an endpoint answered a prompt, or a good part of it, without a crash.
+    pub fn record_survival(&mut self, now: Monotonic, parts: &[PromptPart]) {
+        let Some((_own, shared)) = parts.split_last() else {
+            return;
+        };
+        for part in shared {
+            if let Some(at) = self.survived_at.get_mut(part) {
+                *at = now;
+            } else if self.survived_at.len() < MAX_SURVIVED_PARTS {
+                self.survived_at.insert(part.clone(), now);
+            }
+        }
+    }
+
+    /// Returns the blocked part of a prompt with these parts, if it has one.
+    pub fn blocked_part(&mut self, now: Monotonic, parts: &[PromptPart]) -> Option<PromptPart> {
+        if self.blocked.is_empty() {
+            return None;
+        }
+        let (_own, shared) = parts.split_last()?;
+        let part = shared
+            .iter()
+            .find(|part| self.blocked.contains_key(*part))?;
+        if let Some(block) = self.blocked.get_mut(part) {
+            block.requested_at = now;
+        }
+        Some(part.clone())
+    }
+
+    /// Returns the blocked parts.
+    pub fn blocked_parts(&self) -> impl Iterator<Item = &PromptPart> {
+        self.blocked.keys()
+    }
+
+    /// Returns the blocked parts that this entry found itself.
+    pub fn own_blocked_parts(&self) -> impl Iterator<Item = &PromptPart> {
+        let own = self.blocked.iter().filter(|(_, block)| block.is_own);
+        own.map(|(part, _)| part)
+    }
+
+    /// Blocks a part that was found elsewhere or earlier; returns whether this is new.
+    pub fn adopt_block(&mut self, now: Monotonic, part: &PromptPart) -> bool {
+        self.block(now, part, false)
+    }
+
+    /// Returns what to tell the other entries.
+    #[must_use]
+    pub fn evidence_to_share(&self, now: Monotonic) -> CrashEvidence {
+        let recent = self.crashes.iter().filter(|(_, crash)| {
+            crash.is_confirmed
+                && !crash.own_suspects.is_empty()
+                && now.since(crash.at) < SHARE_DURATION
+        });
+        let crashes = recent.map(|(endpoint, crash)| CrashReport {
+            endpoint: *endpoint,
+            age: now.since(crash.at),
+            suspects: crash.own_suspects.clone(),
+        });
+        let suspected: HashSet<&PromptPart> = self
+            .unexplained_crashes()
+            .flat_map(|crash| crash.suspects().flat_map(|suspect| &*suspect.parts))
+            .collect();
+        let survivals = suspected.into_iter().filter_map(|part| {
+            let at = self.survived_at.get(part)?;
+            Some((part.clone(), now.since(*at)))
+        });
+        CrashEvidence {
+            crashes: crashes.collect(),
+            survivals: survivals.collect(),
+            blocked: self.blocked.keys().cloned().collect(),
+        }
+    }
+
+    /// Applies what another entry told; returns the parts that are newly blocked.
+    pub fn apply_evidence(&mut self, now: Monotonic, evidence: &CrashEvidence) -> Vec<PromptPart> {
+        for report in &evidence.crashes {
+            self.apply_report(now, report);
+        }
+        for (part, age) in &evidence.survivals {
+            if *age < MEMORY {
+                self.apply_survival(part, now - *age);
+            }
+        }
+        let blocked = evidence.blocked.iter();
+        let new = blocked.filter(|part| self.block(now, part, false));
+        new.cloned().collect()
+    }
+
+    fn apply_report(&mut self, now: Monotonic, report: &CrashReport) {
+        if report.age >= MEMORY {
+            return;
+        }
+        let at = now - report.age;
+        let Some(crash) = self.crash_mut(at, report.endpoint) else {
+            return;
+        };
+        crash.is_confirmed = true;
+        for suspect in &report.suspects {
+            if crash.peer_suspects.len() < MAX_SUSPECTS && !crash.peer_suspects.contains(suspect) {
+                crash.peer_suspects.push(suspect.clone());
+            }
+        }
+    }
+
+    fn apply_survival(&mut self, part: &PromptPart, at: Monotonic) {
+        let is_known = self.survived_at.contains_key(part);
+        if is_known || self.survived_at.len() < MAX_SURVIVED_PARTS {
+            let survived_at = self.survived_at.entry(part.clone()).or_insert(at);
+            *survived_at = (*survived_at).max(at);
+        }
+    }
+
+    /// Blocks the part that explains most of the crashes, if there is enough evidence against it. Of parts
+    /// that explain as many, it is the one that comes latest in prompts, which fewest prompts share.
+    ///
+    /// Crashes in which a blocked part was there say nothing about the other prompts.
+    pub fn attribute(&mut self, now: Monotonic) -> Option<Attribution> {
+        let records = self.records(now);
+        let mut convicted: Vec<_> = records
+            .into_values()
+            .filter(|record| self.is_convicted(now, record))
+            .collect();
+        convicted
+            .sort_by_key(|record| (record.crash_count(), record.position, record.prompts.len()));
+        let record = convicted.pop()?;
+        let attribution = Attribution {
+            part: record.part?.clone(),
+            crashes: record.crash_count(),
+            prompts: record.prompts.len(),
+        };
+        self.block(now, &attribution.part, true);
+        Some(attribution)
+    }
+
+    /// Returns the crashes of each part since the last successful response to a prompt with it.
+    fn records(&self, now: Monotonic) -> HashMap<&PromptPart, Record<'_>> {
+        let mut records: HashMap<&PromptPart, Record<'_>> = HashMap::new();
+        for crash in self.unexplained_crashes() {
+            if now.since(crash.at) < SETTLE_TIME {
+                continue;
+            }
+            let mut counted = HashSet::new();
+            for suspect in crash.suspects() {
+                for (position, part) in suspect.parts.iter().enumerate() {
+                    if self.survived_at.get(part).is_some_and(|at| *at >= crash.at) {
+                        continue;
+                    }
+                    let record = records.entry(part).or_default();
+                    record.part = Some(part);
+                    record.position = record.position.max(position);
+                    record.prompts.insert(suspect.prompt);
+                    if counted.insert(part) {
+                        record.crashes.push(crash.at);
+                    }
+                }
+            }
+        }
+        records
+    }
+
+    fn is_convicted(&self, now: Monotonic, record: &Record<'_>) -> bool {
+        let has_survived = record.part.is_some_and(|part| {
+            let at = self.survived_at.get(part);
+            at.is_some_and(|at| now.since(*at) < MEMORY)
+        });
+        let min_crashes = if has_survived {
+            MIN_CRASHES_AFTER_SURVIVAL
+        } else {
+            MIN_CRASHES
+        };
+        record.prompts.len() >= MIN_PROMPTS && record.crash_count() >= min_crashes
+    }
+
+    /// Returns the crashes in which no blocked part was there.
+    fn unexplained_crashes(&self) -> impl Iterator<Item = &Crash> {
+        let is_explained = |crash: &Crash| {
+            let mut suspects = crash.suspects();
+            suspects.any(|suspect| self.blocked.keys().any(|part| suspect.contains(part)))
+        };
+        let confirmed = self.crashes.values().filter(|crash| crash.is_confirmed);
+        confirmed.filter(move |crash| !is_explained(crash))
+    }
+
+    /// Drops what is too old to be considered.
+    pub fn expire(&mut self, now: Monotonic) {
+        self.crashes.retain(|_, crash| {
+            let limit = if crash.is_confirmed {
+                MEMORY
+            } else {
+                CONFIRMATION_TIME
+            };
+            now.since(crash.at) < limit
+        });
+        self.survived_at.retain(|_, at| now.since(*at) < MEMORY);
+        self.blocked
+            .retain(|_, block| now.since(block.requested_at) < BLOCK_TIME);
+    }
+
+    fn block(&mut self, now: Monotonic, part: &PromptPart, is_own: bool) -> bool {
+        if self.blocked.contains_key(part) || self.blocked.len() >= MAX_BLOCKED_PARTS {
+            return false;
+        }
+        let block = Block {
+            requested_at: now,
+            is_own,
+        };
+        self.blocked.insert(part.clone(), block);
+        true
+    }
+
+    fn crash_mut(&mut self, at: Monotonic, endpoint: IncarnationKey) -> Option<&mut Crash> {
+        if self.crashes.len() >= MAX_CRASHES && !self.crashes.contains_key(&endpoint) {
+            return None;
+        }
+        let crash = self.crashes.entry(endpoint);
+        Some(crash.or_insert_with(|| Crash::new(at)))
+    }
+}
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -2,6 +2,7 @@
 
 mod acquire;
 mod budget;
+mod crashes;
 mod endpoint_signals;
 mod remote_load;
 mod stall_recovery;
@@ -32,10 +33,12 @@
 use tokio::sync::Notify;
 
 pub(crate) use self::budget::RetryPermit;
+pub use self::crashes::BlockedParts;
 use self::remote_load::PeerLoads;
 use self::state::State;
 pub use self::usage::SharedState;
 use crate::connections::ConnectionPool;
+use crate::crash_attribution::CrashAttribution;
 use crate::dispatcher::Dispatcher;
 use crate::endpoint::Endpoint;
 use crate::endpoint::ReportedLoad;
@@ -144,6 +147,7 @@
                 rng: cx.rng("entry"),
                 peer_loads: PeerLoads::default(),
                 prior_waits: PriorWaitEstimator::default(),
+                crash_attribution: CrashAttribution::default(),
                 rollout_decisions_from: Monotonic::ZERO,
             }),
             identity,
@@ -285,6 +289,7 @@
             let endpoints = has_expired.then(|| state.known_endpoints.endpoints());
             drop(state);
             self.publish_reports(reports);
+            self.block_crashing_prompts();
             self.penalize_unsolicited_data();
             if let Some(endpoints) = endpoints {
                 self.install_endpoints(endpoints);
--- a/crates/direct/src/entry/state.rs
+++ b/crates/direct/src/entry/state.rs
@@ -9,6 +9,7 @@
 use tokio::sync::oneshot;
 
 use super::remote_load::PeerLoads;
+use crate::crash_attribution::CrashAttribution;
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::Grant;
 use crate::dispatcher::QueueEvent;
@@ -31,6 +32,7 @@
     pub(super) rng: StdRng,
     pub(super) peer_loads: PeerLoads,
     pub(super) prior_waits: PriorWaitEstimator,
+    pub(super) crash_attribution: CrashAttribution,
     /// Rollout decisions are suspended until this time.
     pub(super) rollout_decisions_from: Monotonic,
 }
@@ -60,6 +62,8 @@
         gauges.push(Gauge::new("endpoints_cold", cold));
         let evacuated = self.dispatcher.evacuated_domains().len() as f64;
         gauges.push(Gauge::new("domains_emptied", evacuated));
+        let blocked = self.crash_attribution.blocked_parts().count() as f64;
+        gauges.push(Gauge::new("prompt_parts_blocked", blocked));
         for (pool, queued) in self.dispatcher.queued_by_pool() {
             let queued = queued as f64;
             gauges.push(Gauge::with_label("waiting", "pool", pool.as_str(), queued));
--- a/crates/direct/src/entry/usage.rs
+++ b/crates/direct/src/entry/usage.rs
@@ -4,6 +4,7 @@
 use eelgrassramp::EntryName;
 
 use super::Entry;
+use crate::crash_attribution::CrashEvidence;
 use crate::dispatcher::RateLimitReport;
 use crate::dispatcher::RolloutCounts;
 use crate::endpoint::EndpointKey;
@@ -28,6 +29,9 @@
     /// What endpoints recently told this entry about their rate limits; like `draining`, only what was
     /// not listed before unless `has_all_in_flight` is set.
     pub rate_limits: Vec<RateLimitReport>,
+    /// Crashes of endpoints and blocked parts of prompts; like `draining`, only what was not listed before
+    /// unless `has_all_in_flight` is set.
+    pub crash_evidence: CrashEvidence,
 }
 
 impl Entry {
@@ -43,6 +47,7 @@
             rollouts: state.dispatcher.rollout_counts(),
             draining: state.dispatcher.draining_to_share(now),
             rate_limits: state.dispatcher.rate_limits_to_share(now),
+            crash_evidence: state.crash_attribution.evidence_to_share(now),
         }
     }
 
@@ -50,6 +55,7 @@
     pub fn apply_peer_state(&self, entry: &EntryName, incarnation: u64, update: SharedState) {
         self.apply_peer_draining_list(entry, &update.draining);
         self.apply_rate_limit_reports(entry, &update.rate_limits);
+        self.apply_crash_evidence(entry, &update.crash_evidence);
         let now = self.cx.timers.now();
         let mut state = self.lock();
         state
--- a/crates/direct/src/exchange/message.rs
+++ b/crates/direct/src/exchange/message.rs
@@ -1,5 +1,7 @@
 //! Messages between entries and their encoding.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use eelgrassramp::AccountName;
 use eelgrassramp::DomainName;
@@ -7,14 +9,19 @@
 use eelgrassramp::Error;
 use eelgrassramp::Kind;
 use eelgrassramp::PoolName;
+use eelgrassramp::PromptPart;
 use eelgrassramp::Result;
 use eelgrassramp::RouteName;
+use eelgrassramp::num::millis;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use super::StateVersions;
 use super::sent_state::SentState;
+use crate::crash_attribution::CrashEvidence;
+use crate::crash_attribution::CrashReport;
+use crate::crash_attribution::Suspect;
 use crate::dispatcher::RateLimitReport;
 use crate::dispatcher::RolloutCounts;
 use crate::endpoint::EndpointKey;
@@ -50,10 +57,82 @@
     #[serde(rename = "emptied")]
     #[serde(default)]
     evacuated: u64,
-    /// Left out if it is empty, because a build without this field cannot decode a message with it.
+    /// Left out if it and all later fields are empty, because a build without this field cannot decode
+    /// a message with it.
+    #[serde(default)]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    rate_limits: Option<Vec<RateLimitReportWire>>,
+    /// Left out if it is empty, for the same reason.
     #[serde(default)]
-    #[serde(skip_serializing_if = "Vec::is_empty")]
-    rate_limits: Vec<RateLimitReportWire>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    crash_evidence: Option<CrashEvidenceWire>,
+}
+
+/// Crashes, suspected parts with the milliseconds since a successful response, and blocked parts.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+struct CrashEvidenceWire(
+    Vec<CrashReportWire>,
+    Vec<(PromptPart, u64)>,
+    Vec<PromptPart>,
+);
+
+/// Endpoint, milliseconds since its crash, and the prompts that it was beginning to answer.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+struct CrashReportWire(IncarnationKey, u64, Vec<SuspectWire>);
+
+/// Hash of a prompt, and the parts that others may share.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+struct SuspectWire(u64, Vec<PromptPart>);
+
+impl From<CrashEvidence> for CrashEvidenceWire {
+    fn from(evidence: CrashEvidence) -> Self {
+        let crashes = evidence.crashes.into_iter().map(Into::into);
+        let survivals = evidence.survivals.into_iter();
+        Self(
+            crashes.collect(),
+            survivals.map(|(part, age)| (part, millis(age))).collect(),
+            evidence.blocked,
+        )
+    }
+}
+
+impl From<CrashEvidenceWire> for CrashEvidence {
+    fn from(CrashEvidenceWire(crashes, survivals, blocked): CrashEvidenceWire) -> Self {
+        let survivals = survivals.into_iter();
+        Self {
+            crashes: crashes.into_iter().map(Into::into).collect(),
+            survivals: survivals
+                .map(|(part, ms)| (part, Duration::from_millis(ms)))
+                .collect(),
+            blocked,
+        }
+    }
+}
+
+impl From<CrashReport> for CrashReportWire {
+    fn from(report: CrashReport) -> Self {
+        let suspects = report.suspects.into_iter();
+        let suspects = suspects.map(|s| SuspectWire(s.prompt, s.parts.to_vec()));
+        Self(report.endpoint, millis(report.age), suspects.collect())
+    }
+}
+
+impl From<CrashReportWire> for CrashReport {
+    fn from(CrashReportWire(endpoint, age_ms, suspects): CrashReportWire) -> Self {
+        let suspects = suspects.into_iter();
+        let suspects = suspects.map(|SuspectWire(prompt, parts)| Suspect {
+            prompt,
+            parts: parts.into(),
+        });
+        Self {
+            endpoint,
+            age: Duration::from_millis(age_ms),
+            suspects: suspects.collect(),
+        }
+    }
 }
 
 /// Upper limit for the in-flight requests of one entry at one endpoint; larger received counts are
@@ -204,6 +283,9 @@
     ) -> Self {
         let now = entry.cx().timers.now();
         let update = sent_state.next_update(now, entry.shared_state());
+        let crash_evidence = Some(update.crash_evidence).filter(|evidence| !evidence.is_empty());
+        let has_rate_limits = !update.rate_limits.is_empty() || crash_evidence.is_some();
+        let rate_limits = update.rate_limits.into_iter().map(Into::into).collect();
         Self {
             entry: entry.identity().name.clone(),
             incarnation: entry.identity().incarnation,
@@ -218,7 +300,8 @@
                 .has_all_in_flight
                 .then(|| entry.identity().domain.clone()),
             evacuated: state_versions.evacuated,
-            rate_limits: update.rate_limits.into_iter().map(Into::into).collect(),
+            rate_limits: has_rate_limits.then_some(rate_limits),
+            crash_evidence: crash_evidence.map(Into::into),
         }
     }
 
@@ -235,7 +318,7 @@
 impl From<UsageWire> for SharedState {
     fn from(wire: UsageWire) -> Self {
         let in_flight = wire.in_flight.into_iter();
-        let rate_limits = wire.rate_limits.into_iter();
+        let rate_limits = wire.rate_limits.unwrap_or_default().into_iter();
         let rate_limits = rate_limits.filter(RateLimitReportWire::is_valid);
         Self {
             has_all_in_flight: wire.has_all_in_flight,
@@ -246,6 +329,7 @@
             rollouts: wire.rollouts.into_iter().map(Into::into).collect(),
             draining: wire.draining,
             rate_limits: rate_limits.map(Into::into).collect(),
+            crash_evidence: wire.crash_evidence.map(Into::into).unwrap_or_default(),
         }
     }
 }
--- a/crates/direct/src/exchange/sent_state.rs
+++ b/crates/direct/src/exchange/sent_state.rs
@@ -6,7 +6,9 @@
 
 use eelgrassramp::AccountName;
 use eelgrassramp::Monotonic;
+use eelgrassramp::PromptPart;
 
+use crate::crash_attribution::CrashEvidence;
 use crate::dispatcher::RateLimitReport;
 use crate::endpoint::EndpointKey;
 use crate::endpoint::IncarnationKey;
@@ -20,6 +22,9 @@
 /// a repeated account is harmless.
 const ACCOUNTS_RESEND_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Minimum time between two successful responses to prompts with a suspected part that are both sent.
+const SURVIVAL_RESEND_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Relative change of an account's demand above which the account is sent again.
 const DEMAND_CHANGE_RATIO: f64 = 0.2;
 
@@ -34,6 +39,39 @@
     leaving: HashSet<IncarnationKey>,
     /// Rate limits that were sent.
     rate_limits: HashMap<IncarnationKey, Option<f64>>,
+    crash_evidence: SentCrashEvidence,
+}
+
+/// What was sent about crashes.
+#[derive(Debug, Default)]
+struct SentCrashEvidence {
+    /// Number of suspects in each crash.
+    crashes: HashMap<IncarnationKey, usize>,
+    survived_at: HashMap<PromptPart, Monotonic>,
+    blocked: HashSet<PromptPart>,
+}
+
+impl SentCrashEvidence {
+    /// Returns the part of `evidence` that was not sent, and records it as sent.
+    fn new_evidence(&mut self, now: Monotonic, mut evidence: CrashEvidence) -> CrashEvidence {
+        evidence.crashes.retain(|report| {
+            let suspects = report.suspects.len();
+            self.crashes.insert(report.endpoint, suspects) != Some(suspects)
+        });
+        evidence.survivals.retain(|(part, age)| {
+            let at = now - *age;
+            let before = self.survived_at.get(part);
+            let is_new = before.is_none_or(|before| at.since(*before) >= SURVIVAL_RESEND_INTERVAL);
+            if is_new {
+                self.survived_at.insert(part.clone(), at);
+            }
+            is_new
+        });
+        evidence
+            .blocked
+            .retain(|part| self.blocked.insert(part.clone()));
+        evidence
+    }
 }
 
 impl SentState {
@@ -47,6 +85,7 @@
         if has_all_in_flight {
             self.leaving.clear();
             self.rate_limits.clear();
+            self.crash_evidence = SentCrashEvidence::default();
         }
         let in_flight = self.changed_in_flight(&usage.in_flight);
         SharedState {
@@ -60,6 +99,7 @@
             rollouts: usage.rollouts,
             draining: self.new_leaving(usage.draining),
             rate_limits: self.changed_rate_limits(usage.rate_limits),
+            crash_evidence: self.crash_evidence.new_evidence(now, usage.crash_evidence),
         }
     }
 
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -117,6 +117,9 @@
         mut retry_permit: Option<RetryPermit>,
     ) -> Result<Response<Relay>, Refusal> {
         loop {
+            if let Some(refusal) = self.refuse_blocked_prompt() {
+                return Err(refusal.with_prior_executions(self.executions));
+            }
             let grant = match self.acquire_endpoint().await {
                 Ok(grant) => grant,
                 Err(refusal) => return Err(refusal.with_prior_executions(self.executions)),
@@ -148,6 +151,11 @@
         }
     }
 
+    fn refuse_blocked_prompt(&self) -> Option<Refusal> {
+        let parts = &self.request_log.prompt_parts;
+        self.entry.refuse_blocked_prompt(parts)
+    }
+
     async fn acquire_endpoint(&self) -> Result<Grant, Refusal> {
         let now = self.entry.cx().timers.now();
         let arrived = self.request_log.arrived;
@@ -274,6 +282,9 @@
         if !self.entry.accepts_new_requests(endpoint) {
             return Err(AttemptFailure::not_accepting(endpoint));
         }
+        if let Some(refusal) = self.refuse_blocked_prompt() {
+            return Err(AttemptFailure::blocked(refusal.error));
+        }
         let time_left = self.time_left();
         if time_left.is_zero() {
             return Err(AttemptFailure::deadline_expired());
--- a/crates/direct/src/forward/failure.rs
+++ b/crates/direct/src/forward/failure.rs
@@ -83,6 +83,16 @@
         }
     }
 
+    /// The prompt was blocked after the endpoint was selected.
+    pub(super) const fn blocked(error: Error) -> Self {
+        Self {
+            error,
+            outcome: DispatchEnd::Neutral,
+            is_unexecuted: true,
+            may_have_arrived: false,
+        }
+    }
+
     /// The endpoint responded with a server error, and may have executed the request.
     pub(super) fn server_error(endpoint: &Endpoint, status: StatusCode) -> Self {
         let detail = format!("endpoint {} responded with status {status}", endpoint.name);
--- a/crates/direct/src/handle.rs
+++ b/crates/direct/src/handle.rs
@@ -72,7 +72,7 @@
         Ok(resp) => resp,
         Err(refusal) => {
             let queued = entry.queued_count();
-            if refusal.retry_delay().is_some() {
+            if refusal.retry_delay().is_some() && !refusal.is_of_prompt() {
                 entry.record_retry_after(&request_log.route);
             }
             request_log.refused(&entry, &refusal.error, refusal.retry_delay(), queued);
@@ -112,6 +112,9 @@
     let account_priority = account.as_ref().and_then(|a| a.priority);
     request_log.rank = Some(account_priority.unwrap_or(route.priority));
     let body = read_body(entry, &current_tables, body).await?;
+    if let Some(refusal) = entry.refuse_blocked_prompt(&request_log.prompt_parts) {
+        return Err(refusal);
+    }
     let pool = route.pool(entry.random_u32()).cloned().ok_or_else(|| {
         let detail = format!("route \"{}\" has no pool", route.name);
         Refusal::from(Error::new(Kind::PoolUnavailable, detail))
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -6,11 +6,12 @@
 //! also pass on tables, endpoints and evacuated failure domains to each other ([`exchange`]).
 //!
 //! Decisions are state machines without I/O ([`dispatcher`], [`request_queue`],
-//! [`endpoint_tracker`], [`quota`], [`retry`]); the other modules drive them. The platform's protocols
+//! [`endpoint_tracker`], [`quota`], [`retry`], [`crash_attribution`]); the other modules drive them. The platform's protocols
 //! for callers and endpoints are decoded behind [`protocol`]. Start with `docs/design/platform.md`.
 
 mod attempt;
 pub mod connections;
+pub mod crash_attribution;
 pub mod decaying_sum;
 pub mod dispatcher;
 pub mod endpoint;
@@ -36,6 +37,7 @@
 mod stall;
 pub mod tables;
 
+pub use self::entry::BlockedParts;
 pub use self::entry::Entry;
 pub use self::entry::EntryIdentity;
 pub use self::entry::FleetLimits;
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -40,6 +40,11 @@
         self.error.kind().answer().status
     }
 
+    /// Returns whether the request was refused for its prompt, which has nothing to do with the load.
+    pub(crate) fn is_of_prompt(&self) -> bool {
+        self.error.kind() == Kind::PromptBlocked
+    }
+
     /// Returns the delay before the caller may retry, or `None` if it should not.
     pub(crate) fn retry_delay(&self) -> Option<Duration> {
         self.retry_after
--- /dev/null
+++ b/crates/direct/tests/crash_attribution/main.rs
@@ -0,0 +1,216 @@
+//! Attribution of endpoint crashes to parts of prompts.
+
+mod fleet;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eelgrassramp::DomainName;
+use eelgrassramp::EndpointName;
+use eelgrassramp::Monotonic;
+use eelgrassramp::PoolName;
+use eelgrassramp::PromptPart;
+use eelgrassramp::VersionName;
+use eelgrassramp_direct::crash_attribution::CrashAttribution;
+use eelgrassramp_direct::crash_attribution::Suspect;
+use eelgrassramp_direct::endpoint::Endpoint;
+use eelgrassramp_direct::endpoint::EndpointState;
+use eelgrassramp_direct::endpoint::IncarnationKey;
+use googletest::prelude::*;
+
+/// Time after which a crash is judged, and more.
+const SETTLED_MS: u64 = 1_000;
+
+fn at(ms: u64) -> Monotonic {
+    Monotonic::ZERO + Duration::from_millis(ms)
+}
+
+fn parts(names: &[&str]) -> Vec<PromptPart> {
+    names.iter().copied().map(PromptPart::from).collect()
+}
+
+/// Returns the key of one incarnation of an endpoint.
+fn incarnation(endpoint: usize, start: u64) -> IncarnationKey {
+    IncarnationKey::from(&Endpoint {
+        name: EndpointName::new(format!("i-{endpoint}")),
+        started_ms: Some(start),
+        pool: PoolName::from("drafts"),
+        address: SocketAddr::from(([10, 0, 0, 1], 8_000)),
+        domain: DomainName::from("a"),
+        version: VersionName::from("v1"),
+        slots: 4,
+        state: EndpointState::Ready,
+        cold: None,
+    })
+}
+
+/// Records that an endpoint crashed while it was beginning to answer these prompts.
+fn crash(attribution: &mut CrashAttribution, ms: u64, endpoint: usize, prompts: &[&[&str]]) {
+    let key = incarnation(endpoint, 1);
+    for prompt in prompts {
+        let suspect = Suspect::of_prompt(&parts(prompt)).expect("the prompt has shared parts");
+        attribution.record_loss(at(ms), key, suspect);
+    }
+    attribution.confirm_crash(key);
+}
+
+fn is_blocked(attribution: &mut CrashAttribution, ms: u64, prompt: &[&str]) -> bool {
+    let part = attribution.blocked_part(at(ms), &parts(prompt));
+    part.is_some()
+}
+
+#[gtest]
+fn a_part_that_was_there_in_three_crashes_is_blocked() {
+    let mut attribution = CrashAttribution::default();
+    attribution.record_survival(at(0), &parts(&["all", "x", "own-0"]));
+
+    crash(&mut attribution, 100, 1, &[&["all", "bad", "own-1"]]);
+    crash(&mut attribution, 300, 2, &[&["all", "bad", "own-1"]]);
+    let after_two = attribution.attribute(at(300 + SETTLED_MS));
+    crash(&mut attribution, 500, 3, &[&["all", "bad", "own-2"]]);
+    let after_three = attribution.attribute(at(500 + SETTLED_MS));
+
+    expect_that!(after_two, none());
+    expect_that!(
+        after_three.map(|found| found.part),
+        some(eq(&PromptPart::from("bad")))
+    );
+    expect_that!(
+        is_blocked(&mut attribution, 2_000, &["all", "bad", "own-3"]),
+        eq(true)
+    );
+    expect_that!(
+        is_blocked(&mut attribution, 2_000, &["all", "x", "own-3"]),
+        eq(false)
+    );
+    expect_that!(
+        is_blocked(&mut attribution, 2_000, &["all", "x", "bad"]),
+        eq(false)
+    );
+}
+
+#[gtest]
+fn one_prompt_alone_blocks_none_of_its_parts() {
+    let mut attribution = CrashAttribution::default();
+
+    for n in 0..6 {
+        crash(
+            &mut attribution,
+            200 * n as u64,
+            n,
+            &[&["all", "x", "own-1"]],
+        );
+    }
+
+    expect_that!(attribution.attribute(at(1_000 + SETTLED_MS)), none());
+}
+
+#[gtest]
+fn a_part_that_is_answered_between_crashes_is_not_blocked() {
+    let mut attribution = CrashAttribution::default();
+
+    for n in 0..10 {
+        let own = format!("own-{n}");
+        let ms = 200 * n as u64;
+        crash(&mut attribution, ms, n, &[&["all", &own, &own]]);
+        attribution.record_survival(at(ms + 100), &parts(&["all", "y", "own"]));
+    }
+
+    expect_that!(attribution.attribute(at(2_000 + SETTLED_MS)), none());
+}
+
+#[gtest]
+fn endpoints_that_crash_together_block_nothing() {
+    let mut attribution = CrashAttribution::default();
+
+    for n in 0..10 {
+        let own = format!("own-{n}");
+        crash(
+            &mut attribution,
+            100 + n as u64,
+            n,
+            &[&["all", "hot", &own]],
+        );
+    }
+
+    expect_that!(attribution.attribute(at(100 + SETTLED_MS)), none());
+}
+
+#[gtest]
+fn connections_that_were_lost_without_a_crash_block_nothing() {
+    let mut attribution = CrashAttribution::default();
+
+    for n in 0..10 {
+        let own = format!("own-{n}");
+        let suspect = Suspect::of_prompt(&parts(&["all", "hot", &own])).expect("parts are shared");
+        let key = incarnation(n, 1);
+        attribution.record_loss(at(200 * n as u64), key, suspect);
+        attribution.rule_out_crash(key);
+    }
+
+    expect_that!(attribution.attribute(at(2_000 + SETTLED_MS)), none());
+}
+
+#[gtest]
+fn prompts_that_ran_beside_a_blocked_part_are_not_blamed() {
+    let mut attribution = CrashAttribution::default();
+
+    for n in 0..4 {
+        let own = format!("own-{n}");
+        let bad: &[&str] = &["all", "bad", &own];
+        let sound: &[&str] = &["all", "rare", &own];
+        let prompts = if n == 0 { vec![bad] } else { vec![bad, sound] };
+        crash(&mut attribution, 200 * n as u64, n, &prompts);
+    }
+    let first = attribution.attribute(at(800 + SETTLED_MS));
+    let second = attribution.attribute(at(800 + SETTLED_MS));
+
+    expect_that!(
+        first.map(|found| found.part),
+        some(eq(&PromptPart::from("bad")))
+    );
+    expect_that!(second, none());
+}
+
+#[gtest]
+fn reports_of_other_entries_count() {
+    let mut entries: Vec<_> = (0..3).map(|_| CrashAttribution::default()).collect();
+    for (n, entry) in entries.iter_mut().enumerate() {
+        let own = format!("own-{n}");
+        crash(entry, 200 * n as u64, n, &[&["all", "bad", &own]]);
+    }
+
+    let told: Vec<_> = entries
+        .iter()
+        .map(|e| e.evidence_to_share(at(500)))
+        .collect();
+    for evidence in &told[1..] {
+        entries[0].apply_evidence(at(500), evidence);
+    }
+    let found = entries[0].attribute(at(500 + SETTLED_MS));
+    let told = entries[0].evidence_to_share(at(2_000));
+    let adopted = entries[1].apply_evidence(at(2_000), &told);
+
+    expect_that!(
+        found.map(|found| found.part),
+        some(eq(&PromptPart::from("bad")))
+    );
+    expect_that!(adopted, eq(&parts(&["bad"])));
+}
+
+#[gtest]
+fn a_part_is_blocked_until_no_request_has_it_for_some_time() {
+    let mut attribution = CrashAttribution::default();
+    attribution.adopt_block(at(0), &PromptPart::from("bad"));
+    let minute_ms = 60_000;
+
+    let while_requested = (1..30).all(|n| {
+        attribution.expire(at(n * minute_ms));
+        is_blocked(&mut attribution, n * minute_ms, &["all", "bad", "own"])
+    });
+    attribution.expire(at(50 * minute_ms));
+    let afterwards = is_blocked(&mut attribution, 50 * minute_ms, &["all", "bad", "own"]);
+
+    expect_that!(while_requested, eq(true));
+    expect_that!(afterwards, eq(false));
+}
