A stream is resumed only with a response of the same status and type

Reported by operators of other systems: a stream had begun and broke off, the next endpoint answered with an error, and callers found the error's text in the middle of their stream, or a stream that ended as if it were complete.

Here a failure of the next endpoint, or a response without its signature or id, broke the stream off visibly as it should. A success of another kind did not: text with status 200 was passed on within the stream, and a 204 ended it as complete.

Change: the response to a request to resume a stream has to have the status and the content type of the one that the caller has received; otherwise the stream breaks off.

--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -10,9 +10,12 @@
 use eelgrassramp::Monotonic;
 use eelgrassramp::PoolName;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Method;
+use http::StatusCode;
 use http::Uri;
 use http::header::CONTENT_LENGTH;
+use http::header::CONTENT_TYPE;
 use http::header::TRANSFER_ENCODING;
 use http_body_util::Full;
 use hyper::Request;
@@ -86,11 +89,31 @@
     pub(crate) may_have_arrived: bool,
     /// Endpoints of earlier attempts, including those that could not be connected to.
     pub(crate) attempted: Vec<EndpointName>,
+    /// Head of the response that the caller has received; set once a stream can be resumed.
+    pub(crate) stream_head: Option<StreamHead>,
     /// Id of the last event sent to the caller, when a stream is resumed.
     pub(crate) last_event: Option<u64>,
     pub(crate) request_log: RequestLogContext,
 }
 
+/// What the responses of the endpoints that a stream is pieced together from have in common.
+///
+/// Anything else, such as the text of an error, would be taken for a part of the stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct StreamHead {
+    status: StatusCode,
+    content_type: Option<HeaderValue>,
+}
+
+impl StreamHead {
+    fn of(status: StatusCode, headers: &HeaderMap) -> Self {
+        Self {
+            status,
+            content_type: headers.get(CONTENT_TYPE).cloned(),
+        }
+    }
+}
+
 impl ForwardedRequest {
     /// Returns the deadline of a request that arrived at `arrived`.
     pub(crate) fn deadline_for(
@@ -145,10 +168,13 @@
         if last.is_some() {
             self.last_event = last;
         }
-        match self.forward_with_retries(Some(retry_permit)).await {
-            Ok(resp) if resp.status().is_success() => Some(resp.into_body()),
-            Ok(_) | Err(_) => None,
+        let stream_head = self.stream_head.clone();
+        let resp = self.forward_with_retries(Some(retry_permit)).await.ok()?;
+        if stream_head == Some(StreamHead::of(resp.status(), resp.headers())) {
+            return Some(resp.into_body());
         }
+        resp.into_body().reject();
+        None
     }
 
     fn refuse_blocked_prompt(&self) -> Option<Refusal> {
@@ -375,6 +401,7 @@
             .strip_connection_headers(&mut parts.headers);
         let is_stream = matches!(self.route.kind, RouteKind::Streaming { .. }) && is_success;
         let can_resume = is_stream && self.route.may_execute_again();
+        self.stream_head = can_resume.then(|| StreamHead::of(parts.status, &parts.headers));
         let timers = self.entry.cx().timers.clone();
         let deadline_at = self.deadline_at;
         let is_empty_body = body.is_end_stream();
--- a/crates/direct/src/handle.rs
+++ b/crates/direct/src/handle.rs
@@ -140,6 +140,7 @@
         attempts: 0,
         may_have_arrived: false,
         attempted: Vec::new(),
+        stream_head: None,
         last_event: None,
         request_log: request_log.clone(),
     };
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -132,6 +132,13 @@
         Ok(out)
     }
 
+    /// Gives the response up, because it does not continue the stream that it was requested for.
+    pub(crate) fn reject(mut self) {
+        let detail = "response of another kind to the request to resume a stream";
+        let cause = Error::new(Kind::StreamBroken, detail);
+        self.in_flight.fail(DispatchEnd::Failed, &cause);
+    }
+
     /// Records that the whole response was read, and keeps its connection for reuse.
     pub(crate) fn complete(&mut self) {
         if let Some(connection) = self.connection.take() {
