--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -65,8 +65,8 @@
 /// Interval of [`Entry::run_periodic_work`].
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Ticks between two clean-ups of idle connections.
-const TICKS_PER_CONNECTION_SWEEP: u64 = 20;
+/// Ticks between two clean-ups of idle connections and old records.
+const TICKS_PER_SWEEP: u64 = 20;
 
 /// Identity of an entry process.
 #[derive(Debug, Clone)]
@@ -297,8 +297,9 @@
             if has_queued {
                 self.dispatch_queued_requests();
             }
-            if tick_count.is_multiple_of(TICKS_PER_CONNECTION_SWEEP) {
+            if tick_count.is_multiple_of(TICKS_PER_SWEEP) {
                 self.connections.close_unusable_idle(&self.endpoints());
+                self.expire_crashes();
                 request_log::log_suppressed_lines(&self);
             }
         }
--- a/crates/direct/src/entry/crashes.rs
+++ b/crates/direct/src/entry/crashes.rs
@@ -60,13 +60,16 @@
         info!(self.cx.log, "endpoint crashed while it answered"; "endpoint" => endpoint.name.as_str());
     }
 
-    /// Blocks parts of prompts that are found to crash endpoints, and forgets old crashes.
+    /// Forgets old crashes, and unblocks parts that nobody has asked for of late.
+    pub(super) fn expire_crashes(&self) {
+        let now = self.cx.timers.now();
+        self.lock().crash_attribution.expire(now);
+    }
+
+    /// Blocks parts of prompts that are found to crash endpoints.
     pub(super) fn block_crashing_prompts(&self) {
         let now = self.cx.timers.now();
-        let mut state = self.lock();
-        state.crash_attribution.expire(now);
-        let attribution = state.crash_attribution.attribute(now);
-        drop(state);
+        let attribution = self.lock().crash_attribution.attribute(now);
         if let Some(found) = attribution {
             warn!(self.cx.log, "part of prompts crashes endpoints, requests with it are refused";
                 "part" => found.part.as_str(), "crashes" => found.crashes,
--- a/crates/direct/src/exchange/sent_state.rs
+++ b/crates/direct/src/exchange/sent_state.rs
@@ -23,7 +23,8 @@
 const ACCOUNTS_RESEND_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Minimum time between two successful responses to prompts with a suspected part that are both sent.
-const SURVIVAL_RESEND_INTERVAL: Duration = Duration::from_millis(200);
+/// A part that is answered more often is cleared by what each entry sees itself.
+const SURVIVAL_RESEND_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Relative change of an account's demand above which the account is sent again.
 const DEMAND_CHANGE_RATIO: f64 = 0.2;
