--- a/crates/direct/tests/crash_attribution/fleet.rs
+++ b/crates/direct/tests/crash_attribution/fleet.rs
@@ -62,6 +62,8 @@
     /// Sound requests per second.
     rate: f64,
     trouble: Trouble,
+    /// Entries that exchange nothing with the others.
+    cut_off: usize,
 }
 
 struct Running {
@@ -263,12 +265,12 @@
     }
 
     fn exchange(&mut self, now_ms: u64) {
-        let told: Vec<_> = self
-            .entries
+        let connected = self.scenario.cut_off..;
+        let told: Vec<_> = self.entries[connected.clone()]
             .iter()
             .map(|entry| entry.evidence_to_share(at(now_ms)))
             .collect();
-        for (to, entry) in self.entries.iter_mut().enumerate() {
+        for (to, entry) in self.entries[connected].iter_mut().enumerate() {
             for (from, evidence) in told.iter().enumerate() {
                 if from != to {
                     entry.apply_evidence(at(now_ms), evidence);
@@ -291,6 +293,7 @@
         slots,
         rate,
         trouble: trouble(endpoints as f64),
+        cut_off: 0,
     });
     scenarios.to_vec()
 }
@@ -310,6 +313,29 @@
     }
 }
 
+#[gtest]
+fn crashes_that_an_entry_does_not_report_block_no_sound_part() {
+    for rate in [4.0, 16.0] {
+        for scenario in scenarios(|_| Trouble::CrashingPart(rate)) {
+            for seed in 0..3 {
+                let cut_off = scenario.entries / 3;
+                let scenario = Scenario {
+                    cut_off,
+                    ..scenario
+                };
+
+                let outcome = Fleet::new(scenario, seed).play();
+
+                expect_that!(
+                    outcome.wrongly_blocked,
+                    is_empty(),
+                    "{scenario:?}, seed {seed}"
+                );
+            }
+        }
+    }
+}
+
 #[gtest]
 fn endpoints_that_crash_for_another_reason_block_nothing() {
     let troubles = [
