Operators can unblock a part of prompts; plainer names for its evidence

The block ends only when nobody has asked for the part for ten minutes, so a part that is asked for often stayed blocked after the engine was mended, for as long as one process of the fleet lived.

Survival is now called success, memory retention time, and the legal terms are gone.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -104,7 +104,7 @@
         self.chunks += 1;
         if self.chunks == UNSUSPECTED_CHUNKS {
             self.entry
-                .record_prompt_survival(&self.request_log.prompt_parts);
+                .record_prompt_success(&self.request_log.prompt_parts);
         }
         self.bytes += n;
         let now = self.entry.cx().timers.now();
@@ -141,7 +141,7 @@
         self.end(outcome);
         if !is_server_error {
             self.entry
-                .record_prompt_survival(&self.request_log.prompt_parts);
+                .record_prompt_success(&self.request_log.prompt_parts);
         }
         let ending = if is_server_error {
             Ending::EndpointFailed
--- a/crates/direct/src/crash_attribution.rs
+++ b/crates/direct/src/crash_attribution.rs
@@ -24,8 +24,8 @@
 /// Crashes after which a part is blocked.
 const MIN_CRASHES: usize = 3;
 
-/// Crashes after which a part is blocked that was in a successful response within [`MEMORY`].
-const MIN_CRASHES_AFTER_SURVIVAL: usize = 6;
+/// Crashes after which a part is blocked that was in a successful response within [`RETENTION_TIME`].
+const MIN_CRASHES_AFTER_SUCCESS: usize = 6;
 
 /// Number of different prompts in these crashes. With a single one, any of its parts could be the cause.
 const MIN_PROMPTS: usize = 2;
@@ -38,7 +38,7 @@
 const SETTLE_TIME: Duration = Duration::from_millis(350);
 
 /// Time for which crashes and successful responses are remembered.
-const MEMORY: Duration = Duration::from_mins(1);
+const RETENTION_TIME: Duration = Duration::from_mins(1);
 
 /// Time within which a lost connection has to be recognized as a crash.
 const CONFIRMATION_TIME: Duration = Duration::from_secs(2);
@@ -46,6 +46,9 @@
 /// Time without requests with a blocked part after which it is no longer blocked.
 const BLOCK_TIME: Duration = Duration::from_mins(10);
 
+/// Time after an operator unblocked a part in which other entries may not have noticed, and still list it.
+const UNBLOCK_PROPAGATION_TIME: Duration = Duration::from_mins(1);
+
 /// Time after a crash for which messages to other entries list it.
 const SHARE_DURATION: Duration = Duration::from_secs(5);
 
@@ -56,7 +59,7 @@
 const MAX_SUSPECTS: usize = 64;
 
 /// Maximum number of parts whose successful responses are remembered.
-const MAX_SURVIVED_PARTS: usize = 16_384;
+const MAX_SUCCEEDED_PARTS: usize = 16_384;
 
 /// Maximum number of blocked parts.
 const MAX_BLOCKED_PARTS: usize = 256;
@@ -109,7 +112,7 @@
     /// Recent crashes.
     pub crashes: Vec<CrashReport>,
     /// Suspected parts, each with the time since a successful response to a prompt with it.
-    pub survivals: Vec<(PromptPart, Duration)>,
+    pub successes: Vec<(PromptPart, Duration)>,
     /// Blocked parts.
     pub blocked: Vec<PromptPart>,
 }
@@ -118,7 +121,7 @@
     /// Returns whether there is nothing to tell.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.survivals.is_empty() && self.blocked.is_empty()
+        self.crashes.is_empty() && self.successes.is_empty() && self.blocked.is_empty()
     }
 }
 
@@ -187,8 +190,10 @@
 #[derive(Debug, Default)]
 pub struct CrashAttribution {
     crashes: HashMap<IncarnationKey, Crash>,
-    survived_at: HashMap<PromptPart, Monotonic>,
+    succeeded_at: HashMap<PromptPart, Monotonic>,
     blocked: HashMap<PromptPart, Block>,
+    /// Times at which operators unblocked parts.
+    unblocked_at: HashMap<PromptPart, Monotonic>,
 }
 
 impl CrashAttribution {
@@ -220,15 +225,15 @@
     }
 
     /// Records that an endpoint answered a prompt, or a good part of it, without a crash.
-    pub fn record_survival(&mut self, now: Monotonic, parts: &[PromptPart]) {
+    pub fn record_success(&mut self, now: Monotonic, parts: &[PromptPart]) {
         let Some((_own, shared)) = parts.split_last() else {
             return;
         };
         for part in shared {
-            if let Some(at) = self.survived_at.get_mut(part) {
+            if let Some(at) = self.succeeded_at.get_mut(part) {
                 *at = now;
-            } else if self.survived_at.len() < MAX_SURVIVED_PARTS {
-                self.survived_at.insert(part.clone(), now);
+            } else if self.succeeded_at.len() < MAX_SUCCEEDED_PARTS {
+                self.succeeded_at.insert(part.clone(), now);
             }
         }
     }
@@ -264,6 +269,15 @@
         self.block(now, part, false)
     }
 
+    /// Unblocks a part by an operator's order; crashes until now no longer count against it.
+    pub fn unblock(&mut self, now: Monotonic, part: &PromptPart) {
+        self.blocked.remove(part);
+        self.unblocked_at.insert(part.clone(), now);
+        self.apply_success(part, now);
+        self.crashes
+            .retain(|_, crash| !crash.suspects().any(|suspect| suspect.contains(part)));
+    }
+
     /// Returns what to tell the other entries.
     #[must_use]
     pub fn evidence_to_share(&self, now: Monotonic) -> CrashEvidence {
@@ -281,13 +295,13 @@
             .unexplained_crashes()
             .flat_map(|crash| crash.suspects().flat_map(|suspect| &*suspect.parts))
             .collect();
-        let survivals = suspected.into_iter().filter_map(|part| {
-            let at = self.survived_at.get(part)?;
+        let successes = suspected.into_iter().filter_map(|part| {
+            let at = self.succeeded_at.get(part)?;
             Some((part.clone(), now.since(*at)))
         });
         CrashEvidence {
             crashes: crashes.collect(),
-            survivals: survivals.collect(),
+            successes: successes.collect(),
             blocked: self.blocked.keys().cloned().collect(),
         }
     }
@@ -297,9 +311,9 @@
         for report in &evidence.crashes {
             self.apply_report(now, report);
         }
-        for (part, age) in &evidence.survivals {
-            if *age < MEMORY {
-                self.apply_survival(part, now - *age);
+        for (part, age) in &evidence.successes {
+            if *age < RETENTION_TIME {
+                self.apply_success(part, now - *age);
             }
         }
         let blocked = evidence.blocked.iter();
@@ -308,7 +322,7 @@
     }
 
     fn apply_report(&mut self, now: Monotonic, report: &CrashReport) {
-        if report.age >= MEMORY {
+        if report.age >= RETENTION_TIME {
             return;
         }
         let at = now - report.age;
@@ -323,11 +337,11 @@
         }
     }
 
-    fn apply_survival(&mut self, part: &PromptPart, at: Monotonic) {
-        let is_known = self.survived_at.contains_key(part);
-        if is_known || self.survived_at.len() < MAX_SURVIVED_PARTS {
-            let survived_at = self.survived_at.entry(part.clone()).or_insert(at);
-            *survived_at = (*survived_at).max(at);
+    fn apply_success(&mut self, part: &PromptPart, at: Monotonic) {
+        let is_known = self.succeeded_at.contains_key(part);
+        if is_known || self.succeeded_at.len() < MAX_SUCCEEDED_PARTS {
+            let succeeded_at = self.succeeded_at.entry(part.clone()).or_insert(at);
+            *succeeded_at = (*succeeded_at).max(at);
         }
     }
 
@@ -337,13 +351,13 @@
     /// Crashes in which a blocked part was there say nothing about the other prompts.
     pub fn attribute(&mut self, now: Monotonic) -> Option<Attribution> {
         let records = self.records(now);
-        let mut convicted: Vec<_> = records
+        let mut candidates: Vec<_> = records
             .into_values()
-            .filter(|record| self.is_convicted(now, record))
+            .filter(|record| self.has_enough_evidence(now, record))
             .collect();
-        convicted
+        candidates
             .sort_by_key(|record| (record.crash_count(), record.position, record.prompts.len()));
-        let record = convicted.pop()?;
+        let record = candidates.pop()?;
         let attribution = Attribution {
             part: record.part?.clone(),
             crashes: record.crash_count(),
@@ -363,7 +377,11 @@
             let mut counted = HashSet::new();
             for suspect in crash.suspects() {
                 for (position, part) in suspect.parts.iter().enumerate() {
-                    if self.survived_at.get(part).is_some_and(|at| *at >= crash.at) {
+                    if self
+                        .succeeded_at
+                        .get(part)
+                        .is_some_and(|at| *at >= crash.at)
+                    {
                         continue;
                     }
                     let record = records.entry(part).or_default();
@@ -379,13 +397,13 @@
         records
     }
 
-    fn is_convicted(&self, now: Monotonic, record: &Record<'_>) -> bool {
-        let has_survived = record.part.is_some_and(|part| {
-            let at = self.survived_at.get(part);
-            at.is_some_and(|at| now.since(*at) < MEMORY)
+    fn has_enough_evidence(&self, now: Monotonic, record: &Record<'_>) -> bool {
+        let has_succeeded = record.part.is_some_and(|part| {
+            let at = self.succeeded_at.get(part);
+            at.is_some_and(|at| now.since(*at) < RETENTION_TIME)
         });
-        let min_crashes = if has_survived {
-            MIN_CRASHES_AFTER_SURVIVAL
+        let min_crashes = if has_succeeded {
+            MIN_CRASHES_AFTER_SUCCESS
         } else {
             MIN_CRASHES
         };
@@ -406,19 +424,24 @@
     pub fn expire(&mut self, now: Monotonic) {
         self.crashes.retain(|_, crash| {
             let limit = if crash.is_confirmed {
-                MEMORY
+                RETENTION_TIME
             } else {
                 CONFIRMATION_TIME
             };
             now.since(crash.at) < limit
         });
-        self.survived_at.retain(|_, at| now.since(*at) < MEMORY);
+        self.succeeded_at
+            .retain(|_, at| now.since(*at) < RETENTION_TIME);
         self.blocked
             .retain(|_, block| now.since(block.requested_at) < BLOCK_TIME);
+        self.unblocked_at
+            .retain(|_, at| now.since(*at) < UNBLOCK_PROPAGATION_TIME);
     }
 
     fn block(&mut self, now: Monotonic, part: &PromptPart, is_own: bool) -> bool {
-        if self.blocked.contains_key(part) || self.blocked.len() >= MAX_BLOCKED_PARTS {
+        let is_full = self.blocked.len() >= MAX_BLOCKED_PARTS;
+        let is_outdated = !is_own && self.unblocked_at.contains_key(part);
+        if is_full || is_outdated || self.blocked.contains_key(part) {
             return false;
         }
         let block = Block {
--- a/crates/direct/src/entry/crashes.rs
+++ b/crates/direct/src/entry/crashes.rs
@@ -26,9 +26,9 @@
     }
 
     /// Records that an endpoint answered a prompt without a crash.
-    pub(crate) fn record_prompt_survival(&self, parts: &[PromptPart]) {
+    pub(crate) fn record_prompt_success(&self, parts: &[PromptPart]) {
         let now = self.cx.timers.now();
-        self.lock().crash_attribution.record_survival(now, parts);
+        self.lock().crash_attribution.record_success(now, parts);
     }
 
     /// Records that an endpoint broke off the connection of a request with these parts in its prompt, and
@@ -102,6 +102,13 @@
         }
     }
 
+    /// Unblocks a part of prompts by an operator's order.
+    pub fn unblock_part(&self, part: &PromptPart) {
+        let now = self.cx.timers.now();
+        self.lock().crash_attribution.unblock(now, part);
+        info!(self.cx.log, "part of prompts unblocked by an operator"; "part" => part.as_str());
+    }
+
     /// Returns the blocked parts of prompts, and those of them that this entry found itself.
     #[must_use]
     pub fn blocked_parts(&self) -> BlockedParts {
--- a/crates/direct/src/exchange/message.rs
+++ b/crates/direct/src/exchange/message.rs
@@ -90,21 +90,21 @@
 impl From<CrashEvidence> for CrashEvidenceWire {
     fn from(evidence: CrashEvidence) -> Self {
         let crashes = evidence.crashes.into_iter().map(Into::into);
-        let survivals = evidence.survivals.into_iter();
+        let successes = evidence.successes.into_iter();
         Self(
             crashes.collect(),
-            survivals.map(|(part, age)| (part, millis(age))).collect(),
+            successes.map(|(part, age)| (part, millis(age))).collect(),
             evidence.blocked,
         )
     }
 }
 
 impl From<CrashEvidenceWire> for CrashEvidence {
-    fn from(CrashEvidenceWire(crashes, survivals, blocked): CrashEvidenceWire) -> Self {
-        let survivals = survivals.into_iter();
+    fn from(CrashEvidenceWire(crashes, successes, blocked): CrashEvidenceWire) -> Self {
+        let successes = successes.into_iter();
         Self {
             crashes: crashes.into_iter().map(Into::into).collect(),
-            survivals: survivals
+            successes: successes
                 .map(|(part, ms)| (part, Duration::from_millis(ms)))
                 .collect(),
             blocked,
--- a/crates/direct/src/exchange/sent_state.rs
+++ b/crates/direct/src/exchange/sent_state.rs
@@ -24,7 +24,7 @@
 
 /// Minimum time between two successful responses to prompts with a suspected part that are both sent.
 /// A part that is answered more often is cleared by what each entry sees itself.
-const SURVIVAL_RESEND_INTERVAL: Duration = Duration::from_secs(1);
+const SUCCESS_RESEND_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Relative change of an account's demand above which the account is sent again.
 const DEMAND_CHANGE_RATIO: f64 = 0.2;
@@ -48,7 +48,7 @@
 struct SentCrashEvidence {
     /// Number of suspects in each crash.
     crashes: HashMap<IncarnationKey, usize>,
-    survived_at: HashMap<PromptPart, Monotonic>,
+    succeeded_at: HashMap<PromptPart, Monotonic>,
     blocked: HashSet<PromptPart>,
 }
 
@@ -59,12 +59,12 @@
             let suspects = report.suspects.len();
             self.crashes.insert(report.endpoint, suspects) != Some(suspects)
         });
-        evidence.survivals.retain(|(part, age)| {
+        evidence.successes.retain(|(part, age)| {
             let at = now - *age;
-            let before = self.survived_at.get(part);
-            let is_new = before.is_none_or(|before| at.since(*before) >= SURVIVAL_RESEND_INTERVAL);
+            let before = self.succeeded_at.get(part);
+            let is_new = before.is_none_or(|before| at.since(*before) >= SUCCESS_RESEND_INTERVAL);
             if is_new {
-                self.survived_at.insert(part.clone(), at);
+                self.succeeded_at.insert(part.clone(), at);
             }
             is_new
         });
--- a/crates/direct/tests/crash_attribution/fleet.rs
+++ b/crates/direct/tests/crash_attribution/fleet.rs
@@ -257,7 +257,7 @@
                 let age_ms = now_ms - running.started_ms;
                 let entry = &mut entries[running.entry];
                 if age_ms >= 2 * BEGIN_MS {
-                    entry.record_survival(at(now_ms), &running.parts);
+                    entry.record_success(at(now_ms), &running.parts);
                 }
                 age_ms < RESPONSE_MS
             });
--- a/crates/direct/tests/crash_attribution/main.rs
+++ b/crates/direct/tests/crash_attribution/main.rs
@@ -62,7 +62,7 @@
 #[gtest]
 fn a_part_that_was_there_in_three_crashes_is_blocked() {
     let mut attribution = CrashAttribution::default();
-    attribution.record_survival(at(0), &parts(&["all", "x", "own-0"]));
+    attribution.record_success(at(0), &parts(&["all", "x", "own-0"]));
 
     crash(&mut attribution, 100, 1, &[&["all", "bad", "own-1"]]);
     crash(&mut attribution, 300, 2, &[&["all", "bad", "own-1"]]);
@@ -113,7 +113,7 @@
         let own = format!("own-{n}");
         let ms = 200 * n as u64;
         crash(&mut attribution, ms, n, &[&["all", &own, &own]]);
-        attribution.record_survival(at(ms + 100), &parts(&["all", "y", "own"]));
+        attribution.record_success(at(ms + 100), &parts(&["all", "y", "own"]));
     }
 
     expect_that!(attribution.attribute(at(2_000 + SETTLED_MS)), none());
@@ -152,7 +152,7 @@
 }
 
 #[gtest]
-fn prompts_that_ran_beside_a_blocked_part_are_not_blamed() {
+fn prompts_that_ran_beside_a_blocked_part_are_not_blocked() {
     let mut attribution = CrashAttribution::default();
 
     for n in 0..4 {
@@ -198,6 +198,43 @@
     expect_that!(adopted, eq(&parts(&["bad"])));
 }
 
+#[gtest]
+fn a_part_that_an_operator_unblocked_is_blocked_only_by_later_crashes() {
+    let bad = PromptPart::from("bad");
+    let mut attribution = CrashAttribution::default();
+    let mut peer = CrashAttribution::default();
+    peer.adopt_block(at(0), &bad);
+    for n in 0..4 {
+        let own = format!("own-{n}");
+        crash(
+            &mut attribution,
+            200 * n as u64,
+            n,
+            &[&["all", "bad", &own]],
+        );
+    }
+    attribution.attribute(at(SETTLED_MS));
+
+    attribution.unblock(at(2_000), &bad);
+    let told = peer.evidence_to_share(at(2_100));
+    let adopted = attribution.apply_evidence(at(2_100), &told);
+    let by_earlier = attribution.attribute(at(2_000 + SETTLED_MS));
+    for n in 4..12 {
+        let own = format!("own-{n}");
+        crash(
+            &mut attribution,
+            5_000 + 200 * n as u64,
+            n,
+            &[&["all", "bad", &own]],
+        );
+    }
+    let by_later = attribution.attribute(at(9_000 + SETTLED_MS));
+
+    expect_that!(adopted, is_empty());
+    expect_that!(by_earlier, none());
+    expect_that!(by_later.map(|found| found.part), some(eq(&bad)));
+}
+
 #[gtest]
 fn a_part_is_blocked_until_no_request_has_it_for_some_time() {
     let mut attribution = CrashAttribution::default();
