Crash attribution: one piece of code for successes, suspects and the part of a record

Found when the change was read again: recording a success here and applying one of another entry were written twice, as was adding a suspect; a record held the part that is its key; the key of an endpoint was computed twice for one crash. Behaviour is unchanged, and so are the tests.

--- a/crates/direct/src/crash_attribution.rs
+++ b/crates/direct/src/crash_attribution.rs
@@ -160,6 +160,12 @@
     }
 }
 
+fn add_suspect(suspects: &mut Vec<Suspect>, suspect: Suspect) {
+    if suspects.len() < MAX_SUSPECTS && !suspects.contains(&suspect) {
+        suspects.push(suspect);
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Block {
     requested_at: Monotonic,
@@ -169,15 +175,14 @@
 
 /// Crashes in which a part was there.
 #[derive(Debug, Default)]
-struct Record<'a> {
+struct Record {
     crashes: Vec<Monotonic>,
     prompts: HashSet<u64>,
     /// Latest position in a prompt; the later of two parts that always occur together is more specific.
     position: usize,
-    part: Option<&'a PromptPart>,
 }
 
-impl Record<'_> {
+impl Record {
     fn crash_count(&self) -> usize {
         let mut times = self.crashes.clone();
         times.sort_unstable();
@@ -204,9 +209,7 @@
         let Some(crash) = self.crash_mut(now, endpoint) else {
             return false;
         };
-        if crash.own_suspects.len() < MAX_SUSPECTS && !crash.own_suspects.contains(&lost) {
-            crash.own_suspects.push(lost);
-        }
+        add_suspect(&mut crash.own_suspects, lost);
         is_new
     }
 
@@ -230,11 +233,7 @@
             return;
         };
         for part in shared {
-            if let Some(at) = self.succeeded_at.get_mut(part) {
-                *at = now;
-            } else if self.succeeded_at.len() < MAX_SUCCEEDED_PARTS {
-                self.succeeded_at.insert(part.clone(), now);
-            }
+            self.apply_success(part, now);
         }
     }
 
@@ -331,17 +330,15 @@
         };
         crash.is_confirmed = true;
         for suspect in &report.suspects {
-            if crash.peer_suspects.len() < MAX_SUSPECTS && !crash.peer_suspects.contains(suspect) {
-                crash.peer_suspects.push(suspect.clone());
-            }
+            add_suspect(&mut crash.peer_suspects, suspect.clone());
         }
     }
 
     fn apply_success(&mut self, part: &PromptPart, at: Monotonic) {
-        let is_known = self.succeeded_at.contains_key(part);
-        if is_known || self.succeeded_at.len() < MAX_SUCCEEDED_PARTS {
-            let succeeded_at = self.succeeded_at.entry(part.clone()).or_insert(at);
+        if let Some(succeeded_at) = self.succeeded_at.get_mut(part) {
             *succeeded_at = (*succeeded_at).max(at);
+        } else if self.succeeded_at.len() < MAX_SUCCEEDED_PARTS {
+            self.succeeded_at.insert(part.clone(), at);
         }
     }
 
@@ -352,14 +349,15 @@
     pub fn attribute(&mut self, now: Monotonic) -> Option<Attribution> {
         let records = self.records(now);
         let mut candidates: Vec<_> = records
-            .into_values()
-            .filter(|record| self.has_enough_evidence(now, record))
+            .into_iter()
+            .filter(|(part, record)| self.has_enough_evidence(now, part, record))
             .collect();
-        candidates
-            .sort_by_key(|record| (record.crash_count(), record.position, record.prompts.len()));
-        let record = candidates.pop()?;
+        candidates.sort_by_key(|(_, record)| {
+            (record.crash_count(), record.position, record.prompts.len())
+        });
+        let (part, record) = candidates.pop()?;
         let attribution = Attribution {
-            part: record.part?.clone(),
+            part: part.clone(),
             crashes: record.crash_count(),
             prompts: record.prompts.len(),
         };
@@ -368,8 +366,8 @@
     }
 
     /// Returns the crashes of each part since the last successful response to a prompt with it.
-    fn records(&self, now: Monotonic) -> HashMap<&PromptPart, Record<'_>> {
-        let mut records: HashMap<&PromptPart, Record<'_>> = HashMap::new();
+    fn records(&self, now: Monotonic) -> HashMap<&PromptPart, Record> {
+        let mut records: HashMap<&PromptPart, Record> = HashMap::new();
         for crash in self.unexplained_crashes() {
             if now.since(crash.at) < SETTLE_TIME {
                 continue;
@@ -385,7 +383,6 @@
                         continue;
                     }
                     let record = records.entry(part).or_default();
-                    record.part = Some(part);
                     record.position = record.position.max(position);
                     record.prompts.insert(suspect.prompt);
                     if counted.insert(part) {
@@ -397,11 +394,9 @@
         records
     }
 
-    fn has_enough_evidence(&self, now: Monotonic, record: &Record<'_>) -> bool {
-        let has_succeeded = record.part.is_some_and(|part| {
-            let at = self.succeeded_at.get(part);
-            at.is_some_and(|at| now.since(*at) < RETENTION_TIME)
-        });
+    fn has_enough_evidence(&self, now: Monotonic, part: &PromptPart, record: &Record) -> bool {
+        let succeeded_at = self.succeeded_at.get(part);
+        let has_succeeded = succeeded_at.is_some_and(|at| now.since(*at) < RETENTION_TIME);
         let min_crashes = if has_succeeded {
             MIN_CRASHES_AFTER_SUCCESS
         } else {
--- a/crates/direct/src/entry/crashes.rs
+++ b/crates/direct/src/entry/crashes.rs
@@ -48,18 +48,16 @@
     async fn check_for_crash(self: Arc<Self>, endpoint: Arc<Endpoint>) {
         let key = IncarnationKey::from(&*endpoint);
         match self.connections.refuses_connections(&endpoint).await {
-            Some(true) => self.confirm_crash(&endpoint),
+            Some(true) => {
+                self.lock().crash_attribution.confirm_crash(key);
+                info!(self.cx.log, "endpoint crashed while it answered";
+                    "endpoint" => endpoint.name.as_str());
+            }
             Some(false) => self.lock().crash_attribution.rule_out_crash(key),
             None => {}
         }
     }
 
-    fn confirm_crash(&self, endpoint: &Endpoint) {
-        let key = IncarnationKey::from(endpoint);
-        self.lock().crash_attribution.confirm_crash(key);
-        info!(self.cx.log, "endpoint crashed while it answered"; "endpoint" => endpoint.name.as_str());
-    }
-
     /// Forgets old crashes, and unblocks parts that nobody has asked for of late.
     pub(super) fn expire_crashes(&self) {
         let now = self.cx.timers.now();
