--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -68,6 +68,7 @@
     stats_by_dimension: BTreeMap<Dimension, BTreeMap<Box<str>, RequestStats>>,
     store_calls: BTreeMap<(&'static str, &'static str), u64>,
     store_succeeded_at: BTreeMap<&'static str, Monotonic>,
+    store_epoch: u64,
 }
 
 /// Counts and latencies of the requests that share a label value.
@@ -227,6 +228,11 @@
         }
     }
 
+    /// Sets the epoch of the platform's store, which grows when the store loses its last changes.
+    pub fn set_store_epoch(&self, epoch: u64) {
+        self.lock().store_epoch = epoch;
+    }
+
     /// Renders all counters and the given `gauges`.
     #[must_use]
     pub fn render(&self, now: Monotonic, gauges: &[Gauge]) -> String {
@@ -245,6 +251,7 @@
             let age = now.since(*at).as_millis();
             write_sample(&mut out, "store_age_ms", &[("kind", *kind)], age);
         }
+        write_sample(&mut out, "store_epoch", &[], state.store_epoch);
         let unwritten = self.log_lines.unwritten();
         write_sample(&mut out, "log_lines_unwritten", &[], unwritten);
         for gauge in gauges {
