--- a/crates/direct/src/registry.rs
+++ b/crates/direct/src/registry.rs
@@ -15,7 +15,7 @@
 use crate::endpoint::EndpointState;
 
 /// Time after an outage within which endpoints announce themselves again.
-const REANNOUNCE_GRACE_PERIOD: Duration = Duration::from_secs(2);
+pub const REANNOUNCE_GRACE_PERIOD: Duration = Duration::from_secs(2);
 
 /// Shortest outage during which announcements can expire.
 const MIN_EXPIRING_OUTAGE: Duration = Duration::from_millis(2_500);
