An order for a move goes on after the store lost it or its report

When the store had lost an order, or what the entries had written of its end, the move started anew: a version that had been taken back got its share of requests once more, and nobody wrote the end again.

Cause: an order was known by the revision at which its object was created, which another object or the same order has after a restoration; and the end was written once, when it was decided. Now an order of a later epoch for the same pool and version is the same order, goes on with its counts and its start, and its end is reported again if the store does not have it. A finished move is remembered while its order exists.

--- a/crates/direct/src/dispatcher.rs
+++ b/crates/direct/src/dispatcher.rs
@@ -46,7 +46,6 @@
 use crate::rollout::Comparison;
 use crate::rollout::ExposureLimits;
 use crate::rollout::Report;
-use crate::rollout::Rollout;
 use crate::rollout::RolloutOrder;
 use crate::rollout::RolloutOutcome;
 
@@ -370,25 +369,25 @@
         }
     }
 
-    /// Sets the operators' rollout orders; a rollout without an order is dropped.
+    /// Sets the operators' rollout orders; a rollout without an order is dropped. Returns the reports to
+    /// repeat.
     pub fn set_orders(
         &mut self,
         now: Monotonic,
         orders: Vec<RolloutOrder>,
         limits: ExposureLimits,
-    ) {
+    ) -> Vec<Report> {
         for (name, pool) in &mut self.pools {
             if !orders.iter().any(|order| order.pool == *name) {
-                pool.rollout = None;
+                pool.drop_rollout();
             }
         }
+        let mut reports = Vec::new();
         for order in orders {
             let pool = self.pool_mut(&order.pool.clone());
-            match &mut pool.rollout {
-                Some(known) if known.order().id == order.id => known.set_outcome(order.outcome),
-                unknown => *unknown = Some(Rollout::new(now, order, limits)),
-            }
+            reports.extend(pool.set_order(now, order, limits));
         }
+        reports
     }
 
     /// Decides whether rollouts end, and returns the reports for operators.
--- a/crates/direct/src/dispatcher/pool.rs
+++ b/crates/direct/src/dispatcher/pool.rs
@@ -20,8 +20,10 @@
 use crate::request_queue::QueuedRequest;
 use crate::request_queue::RequestClass;
 use crate::request_queue::RequestQueue;
+use crate::rollout::ExposureLimits;
 use crate::rollout::Report;
 use crate::rollout::Rollout;
+use crate::rollout::RolloutOrder;
 use crate::rollout::VersionGroup;
 
 /// Relative slowdown of an endpoint whose slots are all in use.
@@ -59,6 +61,8 @@
     pub(super) trackers: BTreeMap<EndpointName, EndpointTracker>,
     pub(super) queue: RequestQueue<DispatchRequest>,
     pub(super) rollout: Option<Rollout>,
+    /// The last rollout, once it no longer restricts which endpoints are used.
+    finished_rollout: Option<Rollout>,
     /// Rate limit of each cold endpoint in requests per second; `None` if there is no limit.
     pub(super) cold_rate_limit: Option<f64>,
     decayed_at: Monotonic,
@@ -215,10 +219,37 @@
         rollout.count_finished(route, &endpoint.version, is_bad, slowness);
     }
 
+    /// Sets the operators' order: starts a rollout unless the order is known. Returns the report to
+    /// repeat, if any.
+    pub(super) fn set_order(
+        &mut self,
+        now: Monotonic,
+        order: RolloutOrder,
+        limits: ExposureLimits,
+    ) -> Option<Report> {
+        if let Some(rollout) = self.rollout_of(&order) {
+            return rollout.update_order(order);
+        }
+        self.rollout = Some(Rollout::new(now, order, limits));
+        None
+    }
+
+    fn rollout_of(&mut self, order: &RolloutOrder) -> Option<&mut Rollout> {
+        let known = [&mut self.rollout, &mut self.finished_rollout];
+        let mut known = known.into_iter().flatten();
+        known.find(|rollout| rollout.order().is_same_order(order))
+    }
+
+    /// Forgets the rollout, because its order was deleted.
+    pub(super) fn drop_rollout(&mut self) {
+        self.rollout = None;
+        self.finished_rollout = None;
+    }
+
     pub(super) fn advance_rollout(&mut self, now: Monotonic) -> Option<Report> {
         let rollout = self.rollout.as_mut()?;
         if rollout.is_over(now) {
-            self.rollout = None;
+            self.finished_rollout = self.rollout.take();
             return None;
         }
         let old = self.trackers.values().filter(|tracker| {
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -245,7 +245,8 @@
                 "duration_ms" => millis(order.duration));
         }
         let limits = self.limits.load().exposure;
-        self.lock().dispatcher.set_orders(now, orders, limits);
+        let reports = self.lock().dispatcher.set_orders(now, orders, limits);
+        self.publish_reports(reports);
     }
 
     fn publish_reports(&self, reports: Vec<Report>) {
--- a/crates/direct/src/rollout.rs
+++ b/crates/direct/src/rollout.rs
@@ -70,8 +70,11 @@
 /// An operator's order to roll out a version in a pool.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RolloutOrder {
-    /// Distinguishes orders for the same pool and version.
+    /// Distinguishes orders for the same pool and version within an epoch.
     pub id: u64,
+    /// Epoch of the platform's store in which the order was read. In a later one the store has lost
+    /// changes, and an order that was written again has another id.
+    pub epoch: u64,
     /// The pool.
     pub pool: PoolName,
     /// The new version.
@@ -82,6 +85,15 @@
     pub outcome: Option<RolloutOutcome>,
 }
 
+impl RolloutOrder {
+    /// Returns whether `other` is this order, which may have been written again after it was lost.
+    #[must_use]
+    pub fn is_same_order(&self, other: &Self) -> bool {
+        let is_same_id = self.id == other.id || self.epoch != other.epoch;
+        is_same_id && self.pool == other.pool && self.new_version == other.new_version
+    }
+}
+
 /// Outcome of a rollout.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RolloutOutcome {
@@ -226,6 +238,16 @@
         &self.order
     }
 
+    /// Replaces the order by the same one as it was read again. Returns the report to repeat if the
+    /// store has lost the outcome.
+    pub fn update_order(&mut self, order: RolloutOrder) -> Option<Report> {
+        let is_report_lost = order.epoch > self.order.epoch && order.outcome.is_none();
+        self.set_outcome(order.outcome);
+        self.order = order;
+        (is_report_lost && self.outcome.is_some())
+            .then(|| self.report("the report was lost".to_owned()))
+    }
+
     /// Replaces the outcome by one that the order or another entry reports; `None` changes nothing.
     pub fn set_outcome(&mut self, outcome: Option<RolloutOutcome>) {
         self.outcome = outcome.or(self.outcome);
--- a/crates/direct/tests/dispatcher/main.rs
+++ b/crates/direct/tests/dispatcher/main.rs
@@ -5,3 +5,4 @@
 mod fixture;
 mod overload;
 mod rate_limit;
+mod rollout_orders;
--- a/crates/direct/tests/rollout.rs
+++ b/crates/direct/tests/rollout.rs
@@ -32,6 +32,7 @@
 fn order() -> RolloutOrder {
     RolloutOrder {
         id: 7,
+        epoch: 1,
         pool: PoolName::from("drafts"),
         new_version: VersionName::from("v2"),
         duration: Duration::from_millis(DURATION_MS),
