A request that crashes endpoints is blocked like a part of prompts

Cause: crashes were attributed to parts that prompts share, never to a request as a whole. Ruled out: late or missing recognition of the crashes (logged 1 to 3 ms after the failed attempts), and retries alone (the first attempts of the copies break the rule by themselves). The request, by method, path, account, prompt and body, now counts as one more part of its prompt, so that the same records, exchange, store and checks stop it.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -104,7 +104,7 @@
         self.chunks += 1;
         if self.chunks == UNSUSPECTED_CHUNKS {
             self.entry
-                .record_prompt_success(&self.request_log.prompt_parts);
+                .record_prompt_success(&self.request_log.suspect_parts);
         }
         self.bytes += n;
         let now = self.entry.cx().timers.now();
@@ -141,7 +141,7 @@
         self.end(outcome);
         if !is_server_error {
             self.entry
-                .record_prompt_success(&self.request_log.prompt_parts);
+                .record_prompt_success(&self.request_log.suspect_parts);
         }
         let ending = if is_server_error {
             Ending::EndpointFailed
@@ -171,7 +171,7 @@
         let was_beginning = self.chunks < UNSUSPECTED_CHUNKS;
         if matches!(outcome, DispatchEnd::Disconnected) && was_sent && was_beginning {
             self.entry
-                .record_loss(&self.endpoint, &self.request_log.prompt_parts);
+                .record_loss(&self.endpoint, &self.request_log.suspect_parts);
         }
     }
 
--- a/crates/direct/src/crash_attribution.rs
+++ b/crates/direct/src/crash_attribution.rs
@@ -1,11 +1,13 @@
-//! Attribution of endpoint crashes to parts of prompts.
+//! Attribution of endpoint crashes to parts of prompts, and to requests as a whole.
 //!
-//! A part of a prompt may crash every endpoint that begins to answer a request with it. Whoever sends
-//! such requests on takes down one endpoint after the other, with all other requests that run there.
-//! Entries therefore record which prompts an endpoint was beginning to answer when it crashed, and
-//! exchange these records. A part that was there in several crashes and in no successful response
-//! since is blocked: requests with it are refused. See `docs/design/platform.md`, "Prompts that crash
-//! endpoints".
+//! A part of a prompt may crash every endpoint that begins to answer a request with it, and so may one
+//! particular request. Whoever sends such requests on takes down one endpoint after the other, with
+//! all other requests that run there. Entries therefore record which prompts an endpoint was beginning
+//! to answer when it crashed, and exchange these records. A part that was there in several crashes and
+//! in no successful response since is blocked: requests with it are refused. A whole request counts as
+//! one more part of its prompt. See `docs/design/platform.md`, "Prompts that crash endpoints".
+
+mod request_part;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -15,8 +17,11 @@
 use eelgrassramp::Monotonic;
 use eelgrassramp::PromptPart;
 
+use self::request_part::is_whole_request;
 use crate::endpoint::IncarnationKey;
 
+pub use self::request_part::RequestContent;
+
 /// Number of chunks of a response from which its prompt is not suspected in a crash: a part that
 /// crashes endpoints does so when the response begins.
 pub const UNSUSPECTED_CHUNKS: u32 = 8;
@@ -28,6 +33,7 @@
 const MIN_CRASHES_AFTER_SUCCESS: usize = 6;
 
 /// Number of different prompts in these crashes. With a single one, any of its parts could be the cause.
+/// This does not apply to a whole request, which is a single prompt.
 const MIN_PROMPTS: usize = 2;
 
 /// Crashes within this time count as one, because endpoints that end together have another cause.
@@ -59,7 +65,7 @@
 const MAX_SUSPECTS: usize = 64;
 
 /// Maximum number of parts whose successful responses are remembered.
-const MAX_SUCCEEDED_PARTS: usize = 16_384;
+const MAX_SUCCEEDED_PARTS: usize = 65_536;
 
 /// Maximum number of blocked parts.
 const MAX_BLOCKED_PARTS: usize = 256;
@@ -134,6 +140,8 @@
     pub crashes: usize,
     /// Number of different prompts in these crashes.
     pub prompts: usize,
+    /// Further requests that are blocked, because they were there in as many crashes as this one.
+    pub tied_requests: Vec<PromptPart>,
 }
 
 #[derive(Debug)]
@@ -345,7 +353,8 @@
     /// Blocks the part that explains most of the crashes, if there is enough evidence against it. Of parts
     /// that explain as many, it is the one that comes latest in prompts, which fewest prompts share.
     ///
-    /// Crashes in which a blocked part was there say nothing about the other prompts.
+    /// Requests that were there in equally many crashes are blocked together: they were sent to the same
+    /// endpoints, and which of them crashed these cannot be told.
     pub fn attribute(&mut self, now: Monotonic) -> Option<Attribution> {
         let records = self.records(now);
         let mut candidates: Vec<_> = records
@@ -356,12 +365,21 @@
             (record.crash_count(), record.position, record.prompts.len())
         });
         let (part, record) = candidates.pop()?;
+        let crashes = record.crash_count();
+        let tied = candidates.into_iter().filter(|(other, record)| {
+            let are_requests = is_whole_request(part) && is_whole_request(other);
+            are_requests && record.crash_count() == crashes
+        });
         let attribution = Attribution {
             part: part.clone(),
-            crashes: record.crash_count(),
+            crashes,
             prompts: record.prompts.len(),
+            tied_requests: tied.map(|(other, _)| other.clone()).collect(),
         };
         self.block(now, &attribution.part, true);
+        for request in &attribution.tied_requests {
+            self.block(now, request, true);
+        }
         Some(attribution)
     }
 
@@ -373,13 +391,11 @@
                 continue;
             }
             let mut counted = HashSet::new();
-            for suspect in crash.suspects() {
+            for suspect in self.remaining_suspects(crash) {
                 for (position, part) in suspect.parts.iter().enumerate() {
-                    if self
-                        .succeeded_at
-                        .get(part)
-                        .is_some_and(|at| *at >= crash.at)
-                    {
+                    let succeeded_at = self.succeeded_at.get(part);
+                    let is_cleared = succeeded_at.is_some_and(|at| *at >= crash.at);
+                    if is_cleared || self.blocked.contains_key(part) {
                         continue;
                     }
                     let record = records.entry(part).or_default();
@@ -394,6 +410,20 @@
         records
     }
 
+    /// Returns the suspects that may have caused a crash: the blocked requests that were there, or all if
+    /// none was. A part may still be the cause that several blocked requests have in common.
+    fn remaining_suspects<'a>(&self, crash: &'a Crash) -> Vec<&'a Suspect> {
+        let all: Vec<_> = crash.suspects().collect();
+        let blocked = all.iter().filter(|suspect| self.is_blocked(suspect));
+        let blocked: Vec<_> = blocked.copied().collect();
+        if blocked.is_empty() { all } else { blocked }
+    }
+
+    fn is_blocked(&self, suspect: &Suspect) -> bool {
+        let mut parts = suspect.parts.iter();
+        parts.any(|part| self.blocked.contains_key(part))
+    }
+
     fn has_enough_evidence(&self, now: Monotonic, part: &PromptPart, record: &Record) -> bool {
         let succeeded_at = self.succeeded_at.get(part);
         let has_succeeded = succeeded_at.is_some_and(|at| now.since(*at) < RETENTION_TIME);
@@ -402,14 +432,16 @@
         } else {
             MIN_CRASHES
         };
-        record.prompts.len() >= MIN_PROMPTS && record.crash_count() >= min_crashes
+        let has_enough_prompts = is_whole_request(part) || record.prompts.len() >= MIN_PROMPTS;
+        has_enough_prompts && record.crash_count() >= min_crashes
     }
 
-    /// Returns the crashes in which no blocked part was there.
+    /// Returns the crashes in which no blocked part was there that different prompts share. These say
+    /// nothing about the other prompts.
     fn unexplained_crashes(&self) -> impl Iterator<Item = &Crash> {
         let is_explained = |crash: &Crash| {
-            let mut suspects = crash.suspects();
-            suspects.any(|suspect| self.blocked.keys().any(|part| suspect.contains(part)))
+            let mut parts = crash.suspects().flat_map(|suspect| &*suspect.parts);
+            parts.any(|part| !is_whole_request(part) && self.blocked.contains_key(part))
         };
         let confirmed = self.crashes.values().filter(|crash| crash.is_confirmed);
         confirmed.filter(move |crash| !is_explained(crash))
--- a/crates/direct/src/entry/crashes.rs
+++ b/crates/direct/src/entry/crashes.rs
@@ -21,7 +21,7 @@
     pub(crate) fn refuse_blocked_prompt(&self, parts: &[PromptPart]) -> Option<Refusal> {
         let now = self.cx.timers.now();
         let part = self.lock().crash_attribution.blocked_part(now, parts)?;
-        let detail = format!("part {part} of the prompt crashed several endpoints");
+        let detail = format!("{part} crashed several endpoints");
         Some(Error::new(Kind::PromptBlocked, detail).into())
     }
 
@@ -71,7 +71,7 @@
         if let Some(found) = attribution {
             warn!(self.cx.log, "part of prompts crashes endpoints, requests with it are refused";
                 "part" => found.part.as_str(), "crashes" => found.crashes,
-                "prompts" => found.prompts);
+                "prompts" => found.prompts, "tied" => found.tied_requests.len());
         }
     }
 
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -178,7 +178,7 @@
     }
 
     fn refuse_blocked_prompt(&self) -> Option<Refusal> {
-        let parts = &self.request_log.prompt_parts;
+        let parts = &self.request_log.suspect_parts;
         self.entry.refuse_blocked_prompt(parts)
     }
 
--- a/crates/direct/src/handle.rs
+++ b/crates/direct/src/handle.rs
@@ -25,6 +25,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 
+use crate::crash_attribution::RequestContent;
 use crate::entry::Entry;
 use crate::forward::ForwardedRequest;
 use crate::protocol::CallerRequestHead;
@@ -66,6 +67,7 @@
         rank: None,
         tables: 0,
         prompt_parts: Arc::default(),
+        suspect_parts: Arc::default(),
         arrived,
     };
     let mut resp = match process(&entry, &mut request_log, parts, body).await {
@@ -112,7 +114,15 @@
     let account_priority = account.as_ref().and_then(|a| a.priority);
     request_log.rank = Some(account_priority.unwrap_or(route.priority));
     let body = read_body(entry, &current_tables, body).await?;
-    if let Some(refusal) = entry.refuse_blocked_prompt(&request_log.prompt_parts) {
+    let content = RequestContent {
+        method: &parts.method,
+        uri: &parts.uri,
+        account: request_log.account.as_ref(),
+        body: &body,
+        prompt_parts: &request_head.prompt_parts,
+    };
+    request_log.suspect_parts = content.suspect_parts();
+    if let Some(refusal) = entry.refuse_blocked_prompt(&request_log.suspect_parts) {
         return Err(refusal);
     }
     let pool = route.pool(entry.random_u32()).cloned().ok_or_else(|| {
--- a/crates/direct/src/protocol.rs
+++ b/crates/direct/src/protocol.rs
@@ -27,7 +27,8 @@
     pub prompt_tokens: Option<u64>,
     /// Maximum number of output tokens, if declared.
     pub output_tokens: Option<u64>,
-    /// Parts of the prompt in order, if declared; the last one belongs to this request alone.
+    /// Parts of the prompt in order, if declared; the last one belongs to this request alone. They contain
+    /// no colon.
     pub prompt_parts: Arc<[PromptPart]>,
 }
 
--- a/crates/direct/src/request_log.rs
+++ b/crates/direct/src/request_log.rs
@@ -180,6 +180,8 @@
     pub(crate) tables: u64,
     /// Parts of its prompt in order.
     pub(crate) prompt_parts: Arc<[PromptPart]>,
+    /// The same with the part that stands for the whole request, which may be the cause of a crash.
+    pub(crate) suspect_parts: Arc<[PromptPart]>,
     pub(crate) arrived: Monotonic,
 }
 
--- a/crates/direct/tests/crash_attribution/main.rs
+++ b/crates/direct/tests/crash_attribution/main.rs
@@ -1,10 +1,11 @@
-//! Attribution of endpoint crashes to parts of prompts.
+//! Attribution of endpoint crashes to parts of prompts, and to requests as a whole.
 
 mod fleet;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use eelgrassramp::AccountName;
 use eelgrassramp::DomainName;
 use eelgrassramp::EndpointName;
 use eelgrassramp::Monotonic;
@@ -12,11 +13,14 @@
 use eelgrassramp::PromptPart;
 use eelgrassramp::VersionName;
 use eelgrassramp_direct::crash_attribution::CrashAttribution;
+use eelgrassramp_direct::crash_attribution::RequestContent;
 use eelgrassramp_direct::crash_attribution::Suspect;
 use eelgrassramp_direct::endpoint::Endpoint;
 use eelgrassramp_direct::endpoint::EndpointState;
 use eelgrassramp_direct::endpoint::IncarnationKey;
 use googletest::prelude::*;
+use http::Method;
+use http::Uri;
 
 /// Time after which a crash is judged, and more.
 const SETTLED_MS: u64 = 1_000;
@@ -251,3 +255,137 @@
     expect_that!(while_requested, eq(true));
     expect_that!(afterwards, eq(false));
 }
+
+/// Returns the parts of a request with this body and prompt, as entries suspect them.
+fn request_parts(body: &str, prompt: &[&str]) -> Vec<PromptPart> {
+    let content = RequestContent {
+        method: &Method::POST,
+        uri: &Uri::from_static("/cards/7?a=b"),
+        account: Some(&AccountName::from("counter")),
+        body: body.as_bytes(),
+        prompt_parts: &parts(prompt),
+    };
+    content.suspect_parts().to_vec()
+}
+
+/// Records that an endpoint crashed while it was beginning to answer these requests.
+fn crash_of(
+    attribution: &mut CrashAttribution,
+    ms: u64,
+    endpoint: usize,
+    requests: &[Vec<PromptPart>],
+) {
+    let key = incarnation(endpoint, 1);
+    for request in requests {
+        let suspect = Suspect::of_prompt(request).expect("a request is suspected as a whole");
+        attribution.record_loss(at(ms), key, suspect);
+    }
+    attribution.confirm_crash(key);
+}
+
+#[gtest]
+fn a_request_that_was_there_in_three_crashes_is_blocked_and_nothing_that_it_shares() {
+    let mut attribution = CrashAttribution::default();
+    let bad = request_parts("bad", &["all", "x", "own"]);
+
+    for n in 0..3 {
+        let beside = request_parts(&format!("sound-{n}"), &["all", "x", "own"]);
+        let requests = [bad.clone(), beside];
+        crash_of(&mut attribution, 200 * n as u64, n, &requests);
+    }
+    let found = attribution.attribute(at(400 + SETTLED_MS));
+    let more = attribution.attribute(at(500 + SETTLED_MS));
+
+    let mut is_blocked =
+        |request: &[PromptPart]| attribution.blocked_part(at(2_000), request).is_some();
+    expect_that!(found.map(|found| found.crashes), some(eq(3)));
+    expect_that!(more, none());
+    expect_that!(is_blocked(&bad), eq(true));
+    expect_that!(
+        is_blocked(&request_parts("sound-0", &["all", "x", "own"])),
+        eq(false)
+    );
+    expect_that!(
+        is_blocked(&request_parts("new", &["all", "x", "own"])),
+        eq(false)
+    );
+}
+
+#[gtest]
+fn a_request_without_a_prompt_that_was_there_in_three_crashes_is_blocked() {
+    let mut attribution = CrashAttribution::default();
+    let bad = request_parts("bad", &[]);
+
+    for n in 0..3 {
+        crash_of(&mut attribution, 200 * n as u64, n, &[bad.clone()]);
+    }
+    attribution.attribute(at(400 + SETTLED_MS));
+
+    let mut is_blocked =
+        |request: &[PromptPart]| attribution.blocked_part(at(2_000), request).is_some();
+    expect_that!(is_blocked(&bad), eq(true));
+    expect_that!(is_blocked(&request_parts("other", &[])), eq(false));
+}
+
+#[gtest]
+fn a_request_whose_copies_are_answered_is_not_blocked() {
+    let mut attribution = CrashAttribution::default();
+    let lookup = request_parts("", &[]);
+
+    attribution.record_success(at(0), &lookup);
+    for n in 0..5 {
+        crash_of(&mut attribution, 100 + 200 * n as u64, n, &[lookup.clone()]);
+    }
+    let without_answers_since = attribution.attribute(at(900 + SETTLED_MS));
+    attribution.record_success(at(2_000), &lookup);
+    for n in 5..8 {
+        crash_of(
+            &mut attribution,
+            2_100 + 200 * n as u64,
+            n,
+            &[lookup.clone()],
+        );
+    }
+    let after_an_answer = attribution.attribute(at(3_500 + SETTLED_MS));
+
+    expect_that!(without_answers_since, none());
+    expect_that!(after_an_answer, none());
+}
+
+#[gtest]
+fn a_part_that_several_blocked_requests_have_in_common_is_blocked() {
+    let mut attribution = CrashAttribution::default();
+    let first = request_parts("first", &["all", "bad", "own-1"]);
+    let second = request_parts("second", &["all", "bad", "own-2"]);
+    attribution.record_success(at(0), &parts(&["all", "x", "own"]));
+
+    for n in 0..3 {
+        crash_of(&mut attribution, 200 * n as u64, n, &[first.clone()]);
+    }
+    let as_request = attribution.attribute(at(400 + SETTLED_MS));
+    crash_of(&mut attribution, 1_600, 3, &[second]);
+    let as_part = attribution.attribute(at(1_600 + SETTLED_MS));
+
+    expect_that!(as_request.map(|found| found.part), some(eq(&first[2])));
+    expect_that!(
+        as_part.map(|found| found.part),
+        some(eq(&PromptPart::from("bad")))
+    );
+}
+
+#[gtest]
+fn requests_that_cannot_be_told_apart_are_blocked_together() {
+    let mut attribution = CrashAttribution::default();
+    let (one, other) = (request_parts("one", &[]), request_parts("other", &[]));
+
+    for n in 0..3 {
+        let requests = [one.clone(), other.clone()];
+        crash_of(&mut attribution, 200 * n as u64, n, &requests);
+    }
+    attribution.attribute(at(400 + SETTLED_MS));
+
+    let mut is_blocked =
+        |request: &[PromptPart]| attribution.blocked_part(at(2_000), request).is_some();
+    expect_that!(is_blocked(&one), eq(true));
+    expect_that!(is_blocked(&other), eq(true));
+}
