--- a/crates/direct/tests/crash_attribution/main.rs
+++ b/crates/direct/tests/crash_attribution/main.rs
@@ -317,7 +317,12 @@
     let bad = request_parts("bad", &[]);
 
     for n in 0..3 {
-        crash_of(&mut attribution, 200 * n as u64, n, &[bad.clone()]);
+        crash_of(
+            &mut attribution,
+            200 * n as u64,
+            n,
+            std::slice::from_ref(&bad),
+        );
     }
     attribution.attribute(at(400 + SETTLED_MS));
 
@@ -334,7 +339,12 @@
 
     attribution.record_success(at(0), &lookup);
     for n in 0..5 {
-        crash_of(&mut attribution, 100 + 200 * n as u64, n, &[lookup.clone()]);
+        crash_of(
+            &mut attribution,
+            100 + 200 * n as u64,
+            n,
+            std::slice::from_ref(&lookup),
+        );
     }
     let without_answers_since = attribution.attribute(at(900 + SETTLED_MS));
     attribution.record_success(at(2_000), &lookup);
@@ -343,7 +353,7 @@
             &mut attribution,
             2_100 + 200 * n as u64,
             n,
-            &[lookup.clone()],
+            std::slice::from_ref(&lookup),
         );
     }
     let after_an_answer = attribution.attribute(at(3_500 + SETTLED_MS));
@@ -360,7 +370,12 @@
     attribution.record_success(at(0), &parts(&["all", "x", "own"]));
 
     for n in 0..3 {
-        crash_of(&mut attribution, 200 * n as u64, n, &[first.clone()]);
+        crash_of(
+            &mut attribution,
+            200 * n as u64,
+            n,
+            std::slice::from_ref(&first),
+        );
     }
     let as_request = attribution.attribute(at(400 + SETTLED_MS));
     crash_of(&mut attribution, 1_600, 3, &[second]);
