A request that comes late in a stop is refused instead of passed on and cut

A caller that was slow to send its request, on a connection from before the stop, had it taken after the entry had left the load balancer and passed on; at the end of the grace period it was cut without an answer, also where it may not run twice.

Once the listener is closed, requests are refused with 503 and when to come back, before they are sent to an endpoint.

--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -14,6 +14,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -108,6 +109,7 @@
     log_limiter: LogRateLimiter,
     suspension_detector: SuspensionDetector,
     next_request_seq: AtomicU64,
+    takes_requests: AtomicBool,
     state: Mutex<State>,
 }
 
@@ -138,6 +140,7 @@
             log_limiter: LogRateLimiter::default(),
             suspension_detector: SuspensionDetector::default(),
             next_request_seq: AtomicU64::new(1),
+            takes_requests: AtomicBool::new(true),
             state: Mutex::new(State {
                 dispatcher,
                 result_senders: HashMap::new(),
@@ -272,6 +275,16 @@
         has_state && !self.cx.stop.is_cancelled()
     }
 
+    /// Refuses all further requests, because the process stops and may end before they do.
+    pub(crate) fn stop_taking_requests(&self) {
+        self.takes_requests.store(false, Ordering::Relaxed);
+    }
+
+    /// Returns whether new requests are taken.
+    pub(crate) fn takes_requests(&self) -> bool {
+        self.takes_requests.load(Ordering::Relaxed)
+    }
+
     /// Runs periodic work until the process ends: rollout decisions, expiry of endpoints, dispatch of
     /// queued requests and clean-up of idle connections.
     pub async fn run_periodic_work(self: Arc<Self>) {
--- a/crates/direct/src/handle.rs
+++ b/crates/direct/src/handle.rs
@@ -54,6 +54,9 @@
 /// lasts for seconds.
 const NO_TABLES_RETRY_AFTER: Duration = Duration::from_millis(2_500);
 
+/// Retry-after time of a process that stops: the other entries can take the request at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Handles one request.
 pub(crate) async fn handle(entry: Arc<Entry>, req: Request<Incoming>) -> Response<ResponseBody> {
     entry.check_for_suspension();
@@ -114,6 +117,14 @@
     let account_priority = account.as_ref().and_then(|a| a.priority);
     request_log.rank = Some(account_priority.unwrap_or(route.priority));
     let body = read_body(entry, &current_tables, body).await?;
+    if !entry.takes_requests() {
+        let detail = "the process stops, and the request came too late to be completed";
+        return Err(Refusal::with_retry_after(
+            Kind::Draining,
+            detail,
+            STOPPING_RETRY_AFTER,
+        ));
+    }
     let content = RequestContent {
         method: &parts.method,
         uri: &parts.uri,
--- a/crates/direct/src/server.rs
+++ b/crates/direct/src/server.rs
@@ -61,8 +61,9 @@
 
 /// Serves until the process is asked to shut down and all requests in progress have ended.
 ///
-/// A shutdown fails readiness checks at once, closes the listener after the load balancer had time to
-/// notice, waits for requests in progress, and aborts those that outlast the grace period.
+/// A shutdown fails readiness checks at once, and closes the listener after the load balancer had time to
+/// notice. From then on it refuses requests of slow callers, waits for requests in progress, and aborts
+/// those that outlast the grace period.
 ///
 /// # Errors
 ///
@@ -96,6 +97,7 @@
     // connections make it use another entry.
     accept_task.abort();
     drain.cancel();
+    entry.stop_taking_requests();
     connection_tasks.close();
     let limit = listen.stop_grace.mul_f64(SHUTDOWN_TIMEOUT_FRACTION);
     let time_left = limit.saturating_sub(timers.now().since(shutdown_started_at));
