--- a/crates/direct/src/endpoint.rs
+++ b/crates/direct/src/endpoint.rs
@@ -65,6 +65,16 @@
             && self.address == other.address
             && self.pool == other.pool
     }
+
+    /// Returns whether this announcement is from before `other`, which has the same name: an endpoint drains
+    /// until it ends, and each incarnation starts later than the one before.
+    #[must_use]
+    pub fn is_before(&self, other: &Self) -> bool {
+        if !self.is_same_incarnation(other) {
+            return self.started_ms < other.started_ms;
+        }
+        self.state == EndpointState::Ready && other.state == EndpointState::Draining
+    }
 }
 
 /// Short hash of an endpoint's name, for messages between entries.
--- a/crates/eelgrassramp/src/error.rs
+++ b/crates/eelgrassramp/src/error.rs
@@ -156,7 +156,7 @@
     RetryBudgetSpent "retry_budget_spent" 503 No 2, Overload;
     /// No endpoint of the pool can be reached.
     PoolUnavailable "pool_unavailable" 503 No 1, Unavailable;
-    /// A part of the prompt crashed several endpoints, so requests with it are not sent to any.
+    /// The request, or a part of its prompt, crashed several endpoints, so it is not sent to any.
     PromptBlocked "prompt_blocked" 503 No 60, Unavailable;
     /// The process or endpoint is leaving and takes no new work.
     Draining "draining" 503 No 1, Unavailable;
