Tests of crash attribution: requests as a whole, sent again when an endpoint crashes, in the simulated fleet

The simulated requests now have the part that stands for the whole request, and are sent to up to three endpoints while these crash. What was checked before is checked as before: nothing sound is blocked, a sound request included, and a crashing part is blocked in time; new is the same for a crashing request.

--- a/crates/direct/tests/crash_attribution/fleet.rs
+++ b/crates/direct/tests/crash_attribution/fleet.rs
@@ -1,5 +1,7 @@
-//! Simulation of a fleet in which a part of prompts crashes endpoints, or endpoints crash for another
-//! reason.
+//! Simulation of a fleet in which a part of prompts or one request crashes endpoints, or endpoints crash for
+//! another reason.
+
+use std::collections::HashSet;
 
 use eelgrassramp::PromptPart;
 use eelgrassramp_direct::crash_attribution::CrashAttribution;
@@ -13,6 +15,7 @@
 use super::at;
 use super::incarnation;
 use super::parts;
+use super::request_parts;
 
 /// Duration of a simulation.
 const RUN_MS: u64 = 30_000;
@@ -33,7 +36,11 @@
 const RESPONSE_MS: u64 = 700;
 
 /// Number of crashes after which entries have [`REACTION_MS`] to block the part.
-const TOLERATED_CRASHES: usize = 5;
+const TOLERATED_CRASHES_BY_PART: usize = 5;
+
+/// The same for a request.
+const TOLERATED_CRASHES_BY_REQUEST: usize = 3;
+
 const REACTION_MS: u64 = 3_000;
 
 /// Number of other parts that requests share.
@@ -41,13 +48,21 @@
 
 const MAX_REQUESTS_PER_STEP: u32 = 8;
 
+/// Number of endpoints to which a request is sent while they crash.
+const MAX_ATTEMPTS: u32 = 3;
+
 /// Part that crashes endpoints.
 const CRASHING_PART: &str = "bad";
 
+/// Body of the request that crashes endpoints.
+const CRASHING_BODY: &str = "crash";
+
 #[derive(Debug, Clone, Copy)]
 enum Trouble {
     /// Requests with the crashing part, this many a second.
     CrashingPart(f64),
+    /// Copies of the crashing request, this many a second.
+    CrashingRequest(f64),
     /// Endpoints that crash by themselves, this many a second.
     Crashes(f64),
     /// Half of the endpoints crash together, each this many milliseconds.
@@ -70,6 +85,8 @@
     entry: usize,
     started_ms: u64,
     parts: Vec<PromptPart>,
+    crashes_endpoints: bool,
+    attempt: u32,
 }
 
 struct SimulatedEndpoint {
@@ -81,15 +98,15 @@
 struct Outcome {
     /// Times of the crashes.
     crashes: Vec<u64>,
-    /// Time from which all entries block the crashing part.
+    /// Time from which all entries block the crashing part or request.
     blocked_ms: Option<u64>,
-    /// Sound parts that an entry blocked.
+    /// Sound parts and requests that an entry blocked.
     wrongly_blocked: Vec<PromptPart>,
 }
 
 impl Outcome {
-    fn bound_ms(&self) -> u64 {
-        let bound = self.crashes.get(TOLERATED_CRASHES - 1);
+    fn bound_ms(&self, tolerated_crashes: usize) -> u64 {
+        let bound = self.crashes.get(tolerated_crashes - 1);
         bound.map_or(u64::MAX, |ms| ms + REACTION_MS)
     }
 }
@@ -101,6 +118,8 @@
     endpoints: Vec<SimulatedEndpoint>,
     crashes: Vec<u64>,
     requests: u64,
+    /// Parts that crash endpoints, and the requests with them.
+    causes: HashSet<PromptPart>,
 }
 
 impl Fleet {
@@ -119,6 +138,7 @@
             endpoints: endpoints.collect(),
             crashes: Vec::new(),
             requests: 0,
+            causes: HashSet::from([PromptPart::from(CRASHING_PART)]),
         }
     }
 
@@ -145,7 +165,7 @@
             .entries
             .iter()
             .flat_map(CrashAttribution::blocked_parts);
-        let wrongly = blocked.filter(|part| part.as_str() != CRASHING_PART);
+        let wrongly = blocked.filter(|part| !self.causes.contains(*part));
         Outcome {
             wrongly_blocked: wrongly.cloned().collect(),
             crashes: self.crashes,
@@ -154,7 +174,10 @@
     }
 
     fn all_block(&mut self, now_ms: u64) -> bool {
-        let prompt = parts(&["all", CRASHING_PART, "own"]);
+        let prompt = match self.scenario.trouble {
+            Trouble::CrashingRequest(_) => crashing_request(),
+            _ => parts(&["all", CRASHING_PART, "own"]),
+        };
         let mut entries = self.entries.iter_mut();
         entries.all(|entry| entry.blocked_part(at(now_ms), &prompt).is_some())
     }
@@ -165,15 +188,32 @@
             // Few parts are in many requests, and many parts in few.
             let draws = [(); 3].map(|()| self.rng.random_range(0..SUBJECTS));
             let subject = draws.into_iter().fold(SUBJECTS, u32::min);
-            self.send(now_ms, &format!("subject-{subject}"));
+            let request = self.new_request(&format!("subject-{subject}"));
+            self.send(now_ms, request, false, 1);
         }
-        if let Trouble::CrashingPart(rate) = self.scenario.trouble
-            && now_ms >= TROUBLE_FROM_MS
-        {
-            for _ in 0..self.draw_count(rate * STEP_MS as f64 / 1_000.0) {
-                self.send(now_ms, CRASHING_PART);
-            }
+        let (Trouble::CrashingPart(rate) | Trouble::CrashingRequest(rate)) = self.scenario.trouble
+        else {
+            return;
+        };
+        if now_ms < TROUBLE_FROM_MS {
+            return;
         }
+        for _ in 0..self.draw_count(rate * STEP_MS as f64 / 1_000.0) {
+            let request = match self.scenario.trouble {
+                Trouble::CrashingRequest(_) => crashing_request(),
+                _ => self.new_request(CRASHING_PART),
+            };
+            // The part before the last stands for the whole request.
+            self.causes.insert(request[request.len() - 2].clone());
+            self.send(now_ms, request, true, 1);
+        }
+    }
+
+    /// Returns the parts of a request that comes only once.
+    fn new_request(&mut self, part: &str) -> Vec<PromptPart> {
+        self.requests += 1;
+        let own = format!("own-{}", self.requests);
+        request_parts(&own, &["all", part, &own])
     }
 
     /// Returns a number with this mean, at most [`MAX_REQUESTS_PER_STEP`].
@@ -183,14 +223,10 @@
         draws.map(|_| u32::from(self.rng.random_bool(each))).sum()
     }
 
-    fn send(&mut self, now_ms: u64, part: &str) {
-        self.requests += 1;
+    fn send(&mut self, now_ms: u64, parts: Vec<PromptPart>, crashes_endpoints: bool, attempt: u32) {
         let entry = self.rng.random_range(0..self.entries.len());
-        let prompt = parts(&["all", part, &format!("own-{}", self.requests)]);
-        if self.entries[entry]
-            .blocked_part(at(now_ms), &prompt)
-            .is_some()
-        {
+        let blocked = self.entries[entry].blocked_part(at(now_ms), &parts);
+        if blocked.is_some() {
             return;
         }
         let first = self.rng.random_range(0..self.endpoints.len());
@@ -204,7 +240,9 @@
             self.endpoints[endpoint].running.push(Running {
                 entry,
                 started_ms: now_ms,
-                parts: prompt,
+                parts,
+                crashes_endpoints,
+                attempt,
             });
         }
     }
@@ -219,10 +257,10 @@
 
     fn crashes_now(&mut self, now_ms: u64, endpoint: usize) -> bool {
         match self.scenario.trouble {
-            Trouble::CrashingPart(_) => self.endpoints[endpoint].running.iter().any(|running| {
-                let crashes = running.parts[1].as_str() == CRASHING_PART;
-                crashes && now_ms >= running.started_ms + BEGIN_MS
-            }),
+            Trouble::CrashingPart(_) | Trouble::CrashingRequest(_) => {
+                let mut running = self.endpoints[endpoint].running.iter();
+                running.any(|r| r.crashes_endpoints && now_ms >= r.started_ms + BEGIN_MS)
+            }
             Trouble::Crashes(rate) if now_ms >= TROUBLE_FROM_MS => {
                 let per_step = rate * STEP_MS as f64 / 1_000.0 / self.endpoints.len() as f64;
                 self.rng.random_bool(per_step)
@@ -238,7 +276,8 @@
         self.crashes.push(now_ms);
         let crashed = &mut self.endpoints[endpoint];
         let key = crashed.key;
-        for running in std::mem::take(&mut crashed.running) {
+        let lost = std::mem::take(&mut crashed.running);
+        for running in &lost {
             let is_beginning = now_ms < running.started_ms + 2 * BEGIN_MS;
             if is_beginning && let Some(suspect) = Suspect::of_prompt(&running.parts) {
                 let entry = &mut self.entries[running.entry];
@@ -248,6 +287,10 @@
         }
         crashed.up_from_ms = now_ms + DOWN_MS;
         crashed.key = incarnation(endpoint, now_ms + DOWN_MS);
+        for running in lost.into_iter().filter(|r| r.attempt < MAX_ATTEMPTS) {
+            let next = running.attempt + 1;
+            self.send(now_ms, running.parts, running.crashes_endpoints, next);
+        }
     }
 
     fn finish_responses(&mut self, now_ms: u64) {
@@ -280,6 +323,10 @@
     }
 }
 
+fn crashing_request() -> Vec<PromptPart> {
+    request_parts(CRASHING_BODY, &["all", "subject-0", "own"])
+}
+
 fn scenarios(trouble: impl Fn(f64) -> Trouble) -> Vec<Scenario> {
     let sizes = [
         (1, 6, 4, 20.0),
@@ -306,7 +353,24 @@
                 let outcome = Fleet::new(scenario, seed).play();
 
                 let case = format!("{scenario:?}, seed {seed}");
-                expect_that!(outcome.blocked_ms, some(lt(outcome.bound_ms())), "{case}");
+                let bound_ms = outcome.bound_ms(TOLERATED_CRASHES_BY_PART);
+                expect_that!(outcome.blocked_ms, some(lt(bound_ms)), "{case}");
+                expect_that!(outcome.wrongly_blocked, is_empty(), "{case}");
+            }
+        }
+    }
+}
+
+#[gtest]
+fn only_the_crashing_request_is_blocked_and_in_time() {
+    for rate in [1.0, 4.0, 8.0] {
+        for scenario in scenarios(|_| Trouble::CrashingRequest(rate)) {
+            for seed in 0..3 {
+                let outcome = Fleet::new(scenario, seed).play();
+
+                let case = format!("{scenario:?}, seed {seed}");
+                let bound_ms = outcome.bound_ms(TOLERATED_CRASHES_BY_REQUEST);
+                expect_that!(outcome.blocked_ms, some(lt(bound_ms)), "{case}");
                 expect_that!(outcome.wrongly_blocked, is_empty(), "{case}");
             }
         }
