--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -109,9 +109,9 @@
 pub struct StateVersions {
     /// Version of the tables.
     pub tables: u64,
-    /// Revision of the list of endpoints.
+    /// Version of the list of endpoints, which grows with each change.
     pub endpoints: u64,
-    /// Revision of the list of evacuated failure domains.
+    /// Version of the list of evacuated failure domains, which grows with each change.
     #[serde(rename = "emptied")]
     #[serde(default)]
     pub evacuated: u64,
