--- a/crates/direct/tests/crash_attribution/fleet.rs
+++ b/crates/direct/tests/crash_attribution/fleet.rs
@@ -345,15 +345,16 @@
     scenarios.to_vec()
 }
 
-#[gtest]
-fn only_the_crashing_part_is_blocked_and_in_time() {
+/// Checks that all entries block what crashes endpoints in time, and nothing else; `trouble` makes trouble
+/// of a given rate.
+fn check_only_the_cause_is_blocked(trouble: fn(f64) -> Trouble, tolerated_crashes: usize) {
     for rate in [1.0, 4.0, 8.0] {
-        for scenario in scenarios(|_| Trouble::CrashingPart(rate)) {
+        for scenario in scenarios(|_| trouble(rate)) {
             for seed in 0..3 {
                 let outcome = Fleet::new(scenario, seed).play();
 
                 let case = format!("{scenario:?}, seed {seed}");
-                let bound_ms = outcome.bound_ms(TOLERATED_CRASHES_BY_PART);
+                let bound_ms = outcome.bound_ms(tolerated_crashes);
                 expect_that!(outcome.blocked_ms, some(lt(bound_ms)), "{case}");
                 expect_that!(outcome.wrongly_blocked, is_empty(), "{case}");
             }
@@ -362,19 +363,13 @@
 }
 
 #[gtest]
-fn only_the_crashing_request_is_blocked_and_in_time() {
-    for rate in [1.0, 4.0, 8.0] {
-        for scenario in scenarios(|_| Trouble::CrashingRequest(rate)) {
-            for seed in 0..3 {
-                let outcome = Fleet::new(scenario, seed).play();
+fn only_the_crashing_part_is_blocked_and_in_time() {
+    check_only_the_cause_is_blocked(Trouble::CrashingPart, TOLERATED_CRASHES_BY_PART);
+}
 
-                let case = format!("{scenario:?}, seed {seed}");
-                let bound_ms = outcome.bound_ms(TOLERATED_CRASHES_BY_REQUEST);
-                expect_that!(outcome.blocked_ms, some(lt(bound_ms)), "{case}");
-                expect_that!(outcome.wrongly_blocked, is_empty(), "{case}");
-            }
-        }
-    }
+#[gtest]
+fn only_the_crashing_request_is_blocked_and_in_time() {
+    check_only_the_cause_is_blocked(Trouble::CrashingRequest, TOLERATED_CRASHES_BY_REQUEST);
 }
 
 #[gtest]
--- a/crates/direct/tests/crash_attribution/main.rs
+++ b/crates/direct/tests/crash_attribution/main.rs
@@ -50,17 +50,16 @@
 
 /// Records that an endpoint crashed while it was beginning to answer these prompts.
 fn crash(attribution: &mut CrashAttribution, ms: u64, endpoint: usize, prompts: &[&[&str]]) {
-    let key = incarnation(endpoint, 1);
-    for prompt in prompts {
-        let suspect = Suspect::of_prompt(&parts(prompt)).expect("the prompt has shared parts");
-        attribution.record_loss(at(ms), key, suspect);
-    }
-    attribution.confirm_crash(key);
+    let requests: Vec<_> = prompts.iter().map(|prompt| parts(prompt)).collect();
+    crash_of(attribution, ms, endpoint, &requests);
 }
 
 fn is_blocked(attribution: &mut CrashAttribution, ms: u64, prompt: &[&str]) -> bool {
-    let part = attribution.blocked_part(at(ms), &parts(prompt));
-    part.is_some()
+    is_request_blocked(attribution, ms, &parts(prompt))
+}
+
+fn is_request_blocked(attribution: &mut CrashAttribution, ms: u64, request: &[PromptPart]) -> bool {
+    attribution.blocked_part(at(ms), request).is_some()
 }
 
 #[gtest]
@@ -277,7 +276,8 @@
 ) {
     let key = incarnation(endpoint, 1);
     for request in requests {
-        let suspect = Suspect::of_prompt(request).expect("a request is suspected as a whole");
+        let suspect =
+            Suspect::of_prompt(request).expect("the request has parts that are suspected");
         attribution.record_loss(at(ms), key, suspect);
     }
     attribution.confirm_crash(key);
@@ -297,7 +297,7 @@
     let more = attribution.attribute(at(500 + SETTLED_MS));
 
     let mut is_blocked =
-        |request: &[PromptPart]| attribution.blocked_part(at(2_000), request).is_some();
+        |request: &[PromptPart]| is_request_blocked(&mut attribution, 2_000, request);
     expect_that!(found.map(|found| found.crashes), some(eq(3)));
     expect_that!(more, none());
     expect_that!(is_blocked(&bad), eq(true));
@@ -327,7 +327,7 @@
     attribution.attribute(at(400 + SETTLED_MS));
 
     let mut is_blocked =
-        |request: &[PromptPart]| attribution.blocked_part(at(2_000), request).is_some();
+        |request: &[PromptPart]| is_request_blocked(&mut attribution, 2_000, request);
     expect_that!(is_blocked(&bad), eq(true));
     expect_that!(is_blocked(&request_parts("other", &[])), eq(false));
 }
@@ -400,7 +400,7 @@
     attribution.attribute(at(400 + SETTLED_MS));
 
     let mut is_blocked =
-        |request: &[PromptPart]| attribution.blocked_part(at(2_000), request).is_some();
+        |request: &[PromptPart]| is_request_blocked(&mut attribution, 2_000, request);
     expect_that!(is_blocked(&one), eq(true));
     expect_that!(is_blocked(&other), eq(true));
 }
--- a/crates/direct/tests/dispatcher/rollout_orders.rs
+++ b/crates/direct/tests/dispatcher/rollout_orders.rs
@@ -45,11 +45,11 @@
 }
 
 /// The order as it is written again, without its outcome, after the store has lost it.
-fn written_again(version: &str) -> RolloutOrder {
+fn written_again() -> RolloutOrder {
     RolloutOrder {
         id: 9,
         epoch: 2,
-        ..rollout_order(version)
+        ..rollout_order("v2")
     }
 }
 
@@ -70,8 +70,8 @@
     let mut dispatcher = dispatcher();
     dispatcher.set_orders(at(0), vec![ended(RolloutOutcome::RolledBack)], EXPOSURE);
 
-    let reports = dispatcher.set_orders(at(100), vec![written_again("v2")], EXPOSURE);
-    let again = dispatcher.set_orders(at(200), vec![written_again("v2")], EXPOSURE);
+    let reports = dispatcher.set_orders(at(100), vec![written_again()], EXPOSURE);
+    let again = dispatcher.set_orders(at(200), vec![written_again()], EXPOSURE);
 
     let outcomes: Vec<_> = reports.iter().map(|report| report.outcome).collect();
     expect_that!(
@@ -88,7 +88,7 @@
     dispatcher.set_orders(at(0), vec![ended(RolloutOutcome::Completed)], EXPOSURE);
     dispatcher.advance_rollouts(at(OVER_MS));
 
-    let reports = dispatcher.set_orders(at(OVER_MS), vec![written_again("v2")], EXPOSURE);
+    let reports = dispatcher.set_orders(at(OVER_MS), vec![written_again()], EXPOSURE);
 
     let outcomes: Vec<_> = reports.iter().map(|report| report.outcome).collect();
     expect_that!(
@@ -103,15 +103,12 @@
     let mut dispatcher = dispatcher();
     let lost = RolloutOrder {
         id: 9,
-        ..rollout_order("v3")
-    };
-    let lost = RolloutOrder {
         outcome: Some(RolloutOutcome::Completed),
-        ..lost
+        ..rollout_order("v3")
     };
     dispatcher.set_orders(at(0), vec![lost], EXPOSURE);
 
-    let reports = dispatcher.set_orders(at(100), vec![written_again("v2")], EXPOSURE);
+    let reports = dispatcher.set_orders(at(100), vec![written_again()], EXPOSURE);
 
     let outcomes: Vec<_> = dispatcher
         .rollout_counts()
