--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -13,6 +13,7 @@
 
 use crate::client::readiness;
 use crate::record::Record;
+use crate::store::PeerLinks;
 use crate::store::Store;
 
 /// `run` of the role in `deploy/system.toml`, from the root of the repository.
@@ -39,6 +40,8 @@
     pub program: Program,
     /// Its link to the store.
     pub store_link: Proxy,
+    /// Its links to the other entries.
+    pub peer_links: PeerLinks,
 }
 
 impl Entry {
@@ -52,7 +55,8 @@
 pub async fn start_entries(store: &Store, count: usize, record: &Record) -> Option<Vec<Entry>> {
     let mut entries = Vec::new();
     for n in 0..count {
-        let store_link = Proxy::start(store.addr).await;
+        let peer_links = PeerLinks::default();
+        let store_link = Proxy::start(store.listen(&peer_links).await).await;
         let program = Program::start(ProgramOptions {
             path: PROGRAM.into(),
             name: format!("edge-{n}"),
@@ -66,6 +70,7 @@
         entries.push(Entry {
             program,
             store_link,
+            peer_links,
         });
     }
     for entry in &entries {
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -1,13 +1,16 @@
 //! Stand-in for the platform's store: objects by kind and name, pages, watches, conditional writes.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use eelgrassramp_platform_standins::LinkState;
 use eelgrassramp_platform_standins::Message;
+use eelgrassramp_platform_standins::Proxy;
 use eelgrassramp_platform_standins::read_message;
 use serde_json::Value;
 use serde_json::json;
@@ -51,6 +54,53 @@
     unanswered_writes: u64,
 }
 
+/// Links of one entry to the others: a proxy before the address that each of them announces.
+///
+/// The store puts the address of the proxy into what that entry reads, which is how the proxies come
+/// between the entries.
+#[derive(Clone, Default)]
+pub struct PeerLinks {
+    proxies: Arc<Mutex<HashMap<String, Proxy>>>,
+}
+
+impl PeerLinks {
+    /// Changes the state of all links, or of the one to `only`.
+    pub fn set(&self, only: Option<&str>, link: LinkState) {
+        for (name, proxy) in self.proxies.lock().expect("no panic").iter() {
+            if only.is_none_or(|only| only == name) {
+                proxy.set(link);
+            }
+        }
+    }
+
+    /// Replaces the announced addresses in an answer by those of the proxies.
+    async fn redirect(&self, answer: &mut Value) {
+        let objects = match answer {
+            Value::Object(map) if map.contains_key("entries") => map["entries"].as_array_mut(),
+            Value::Object(map) if map.contains_key("events") => map["events"].as_array_mut(),
+            _ => None,
+        };
+        for object in objects.into_iter().flatten() {
+            let object = match object.get("object") {
+                Some(_) => &mut object["object"],
+                None => object,
+            };
+            let name = object["metadata"]["name"].as_str().unwrap_or_default().to_owned();
+            let target = object["spec"]["exchange"].as_str().and_then(|a| a.parse().ok());
+            let Some(target) = target else {
+                continue;
+            };
+            let known = self.proxies.lock().expect("no panic").get(&name).cloned();
+            let proxy = match known {
+                Some(proxy) => proxy,
+                None => Proxy::start(target).await,
+            };
+            object["spec"]["exchange"] = json!(proxy.addr.to_string());
+            self.proxies.lock().expect("no panic").insert(name, proxy);
+        }
+    }
+}
+
 /// Stand-in store.
 #[derive(Clone)]
 pub struct Store {
@@ -78,16 +128,25 @@
             revision: watch::channel(10).0,
             record: record.clone(),
         };
-        let accepting = store.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let _unset = stream.set_nodelay(true);
-                tokio::spawn(accepting.clone().serve(stream));
-            }
-        });
+        tokio::spawn(store.clone().accept(listener, None));
         store
     }
 
+    /// Returns a further address of the store, for an entry that reaches the others over these links.
+    pub async fn listen(&self, links: &PeerLinks) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = listener.local_addr().expect("an address");
+        tokio::spawn(self.clone().accept(listener, Some(links.clone())));
+        addr
+    }
+
+    async fn accept(self, listener: TcpListener, links: Option<PeerLinks>) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let _unset = stream.set_nodelay(true);
+            tokio::spawn(self.clone().serve(stream, links.clone()));
+        }
+    }
+
     /// Creates an object or replaces its spec, as the operator or a replica; returns the revision.
     pub fn put(&self, kind: &str, name: &str, spec: Value) -> u64 {
         let revision = self
@@ -128,14 +187,17 @@
         (state.writes, state.unanswered_writes)
     }
 
-    async fn serve(self, mut stream: TcpStream) {
+    async fn serve(self, mut stream: TcpStream, links: Option<PeerLinks>) {
         let mut buf = Vec::new();
         while let Some(call) = read_message(&mut stream, &mut buf).await {
-            let Some((status, body)) = self.handle(&call).await else {
+            let Some((status, mut body)) = self.handle(&call).await else {
                 // The connection returns nothing further.
                 while read_message(&mut stream, &mut buf).await.is_some() {}
                 return;
             };
+            if let Some(links) = &links {
+                links.redirect(&mut body).await;
+            }
             let body = body.to_string();
             let answer = format!(
                 "HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
