--- a/review/standins/src/bin/foreign_entries.rs
+++ b/review/standins/src/bin/foreign_entries.rs
@@ -86,10 +86,19 @@
     let from = back_at + RECOVERY;
     let (served, sent) = share(from, from + COUNTED);
     for server in &servers {
-        record.line(format!("runs at {}: {}", server.id, server.replica.runs().len()));
+        record.line(format!(
+            "runs at {}: {}",
+            server.id,
+            server.replica.runs().len()
+        ));
     }
     for entry in &entries {
-        for line in entry.program.log().iter().filter(|l| l.contains("store call failed")) {
+        for line in entry
+            .program
+            .log()
+            .iter()
+            .filter(|l| l.contains("store call failed"))
+        {
             record.line(format!("log of {}: {line}", entry.name()));
         }
     }
--- a/review/standins/src/bin/late_withdrawal.rs
+++ b/review/standins/src/bin/late_withdrawal.rs
@@ -84,7 +84,10 @@
         }
     }
     tokio::time::sleep(LATE).await;
-    record.say(format!("announced entries after the restarts: {:?}", store.names("entries")));
+    record.say(format!(
+        "announced entries after the restarts: {:?}",
+        store.names("entries")
+    ));
     tokio::time::sleep(QUIET).await;
 
     let clients = Clients::new(&record);
@@ -110,7 +113,11 @@
     let mut runs = BTreeMap::new();
     for server in &servers {
         for run in server.replica.runs() {
-            let id = run.request.header("attempt-id").unwrap_or_default().to_owned();
+            let id = run
+                .request
+                .header("attempt-id")
+                .unwrap_or_default()
+                .to_owned();
             record.line(format!("run: {id} at {}", server.id));
             *runs.entry(id).or_insert(0_u32) += 1;
         }
--- a/review/standins/src/bin/rollback_override.rs
+++ b/review/standins/src/bin/rollback_override.rs
@@ -116,7 +116,10 @@
         store_link.set(LinkState::Open);
     });
     let Some(rolled_back_at) = rolled_back_at else {
-        record.say(format!("v2 was not rolled back in the cut: {:?}", state_of(&store)));
+        record.say(format!(
+            "v2 was not rolled back in the cut: {:?}",
+            state_of(&store)
+        ));
         return ExitCode::from(2);
     };
     let drain = (rolled_back_at + DRAIN_AFTER).saturating_sub(record.now());
@@ -145,7 +148,9 @@
             late += u32::from(sent.is_some_and(|s| s > rolled_back_at + Duration::from_secs(1)));
         }
     }
-    let sent = exchanges.iter().filter(|e| e.sent >= ordered_at && e.sent < deadline);
+    let sent = exchanges
+        .iter()
+        .filter(|e| e.sent >= ordered_at && e.sent < deadline);
     let total = sent.count();
     let allowed = EXPOSURE_SHARE * total as f64 + EXPOSURE_SLACK;
     for entry in &entries {
--- a/review/standins/src/bin/stale_outcome.rs
+++ b/review/standins/src/bin/stale_outcome.rs
@@ -113,13 +113,19 @@
     let mut exposed = 0;
     for server in &bad {
         for run in server.replica.runs() {
-            let id = run.request.header("attempt-id").unwrap_or_default().to_owned();
+            let id = run
+                .request
+                .header("attempt-id")
+                .unwrap_or_default()
+                .to_owned();
             record.line(format!("run: {id} at {} ({})", server.id, "v3"));
             exposed += u32::from(is_counted(&id));
         }
     }
     let exchanges = clients.exchanges();
-    let sent = exchanges.iter().filter(|e| e.sent >= ordered_at && e.sent < deadline);
+    let sent = exchanges
+        .iter()
+        .filter(|e| e.sent >= ordered_at && e.sent < deadline);
     let (mut total, mut failed) = (0_u32, 0_u32);
     for exchange in sent {
         total += 1;
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -85,8 +85,13 @@
                 Some(_) => &mut object["object"],
                 None => object,
             };
-            let name = object["metadata"]["name"].as_str().unwrap_or_default().to_owned();
-            let target = object["spec"]["exchange"].as_str().and_then(|a| a.parse().ok());
+            let name = object["metadata"]["name"]
+                .as_str()
+                .unwrap_or_default()
+                .to_owned();
+            let target = object["spec"]["exchange"]
+                .as_str()
+                .and_then(|a| a.parse().ok());
             let Some(target) = target else {
                 continue;
             };
@@ -222,7 +227,8 @@
             state.writes += 1;
             state.late_deletions.filter(|_| call.method() == "DELETE")
         };
-        self.record.line(format!("store: {} {}", call.method(), call.path()));
+        self.record
+            .line(format!("store: {} {}", call.method(), call.path()));
         if let Some(late) = late {
             self.lock().unanswered_writes += 1;
             let store = self.clone();
@@ -372,8 +378,12 @@
     }
 
     fn changes_after(&self, kind: &str, at: u64) -> (Vec<Value>, u64) {
-        let new = self.changes.iter().filter(|c| c.revision > at && c.key.0 == kind);
-        let events = new.map(|c| json!({"object": c.object.encode(&c.key.1), "deleted": c.is_deleted}));
+        let new = self
+            .changes
+            .iter()
+            .filter(|c| c.revision > at && c.key.0 == kind);
+        let events =
+            new.map(|c| json!({"object": c.object.encode(&c.key.1), "deleted": c.is_deleted}));
         (events.collect(), self.revision)
     }
 
