--- /dev/null
+++ b/review/standins-2/replica.rs
@@ -0,0 +1,140 @@
+//! Stand-in for a replica.
+
+use std::io::BufReader;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+
+use crate::http::Message;
+use crate::http::read_message;
+
+/// How a replica answers the requests that are meant for it.
+#[derive(Clone, Copy)]
+pub enum Answer {
+    /// With a body of so many bytes, at once.
+    Body(usize),
+    /// With such a body after some time.
+    After(Duration, usize),
+    /// With a stream of so many events, one each interval.
+    Stream(u32, Duration),
+}
+
+/// A request that ran.
+#[derive(Clone)]
+pub struct Run {
+    /// Its attempt.
+    pub id: String,
+}
+
+/// A sound replica: it refuses requests for another one and runs all others.
+#[derive(Clone)]
+pub struct Replica {
+    /// Its name in the registry.
+    pub id: String,
+    /// Its address.
+    pub addr: SocketAddr,
+    service: String,
+    zone: String,
+    answer: Answer,
+    runs: Arc<Mutex<Vec<Run>>>,
+}
+
+impl Replica {
+    /// Starts a replica.
+    pub fn start(id: &str, service: &str, zone: &str, answer: Answer) -> Result<Self, String> {
+        let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
+        let replica = Self {
+            id: id.to_owned(),
+            addr: listener.local_addr().map_err(|e| e.to_string())?,
+            service: service.to_owned(),
+            zone: zone.to_owned(),
+            answer,
+            runs: Arc::default(),
+        };
+        let accepting = replica.clone();
+        thread::spawn(move || {
+            while let Ok((stream, _)) = listener.accept() {
+                let replica = accepting.clone();
+                thread::spawn(move || replica.serve(stream));
+            }
+        });
+        Ok(replica)
+    }
+
+    /// Returns its announcement.
+    pub fn announcement(&self) -> String {
+        let (service, addr, zone) = (&self.service, self.addr, &self.zone);
+        format!(
+            "{{\"service\":\"{service}\",\"address\":\"{addr}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
+             \"slots\":6,\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":1,\"born\":1765065600000}}"
+        )
+    }
+
+    /// Returns the requests that ran.
+    pub fn runs(&self) -> Vec<Run> {
+        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        runs.clone()
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let _unset = stream.set_nodelay(true);
+        let Ok(reader) = stream.try_clone() else {
+            return;
+        };
+        let mut reader = BufReader::new(reader);
+        let mut stream = stream;
+        while let Ok(Some(request)) = read_message(&mut reader) {
+            if self.answer(&request, &mut stream).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, request: &Message, to: &mut TcpStream) -> std::io::Result<()> {
+        let id = request.header("attempt-id").unwrap_or_default();
+        if request.header("expect-instance") != Some(&self.id) {
+            let head = format!(
+                "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\n\
+                 Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                self.id
+            );
+            return to.write_all(head.as_bytes());
+        }
+        let run = Run {
+            id: id.to_owned(),
+        };
+        let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        runs.push(run);
+        drop(runs);
+        let head = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: {}\r\n", self.id);
+        match self.answer {
+            Answer::Body(length) | Answer::After(_, length) => {
+                if let Answer::After(work, _) = self.answer {
+                    thread::sleep(work);
+                }
+                let head = format!("{head}Content-Length: {length}\r\n\r\n");
+                to.write_all(head.as_bytes())?;
+                to.write_all(&vec![b'x'; length])
+            }
+            Answer::Stream(events, interval) => {
+                let head = format!(
+                    "{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                );
+                to.write_all(head.as_bytes())?;
+                for event in 1..=events {
+                    let text = format!("id: {event}\ndata: part {event}\n\n");
+                    let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+                    to.write_all(chunk.as_bytes())?;
+                    thread::sleep(interval);
+                }
+                to.write_all(b"0\r\n\r\n")
+            }
+        }
+    }
+}
