--- a/review/standins-2/cases/header_limit.rs
+++ b/review/standins-2/cases/header_limit.rs
@@ -64,7 +64,9 @@
                 ..ORDERS
             };
             store.put(CONFIG.0, CONFIG.1, &version.to_json());
-            setting.record.line("version 9 acknowledged: maxHeaderBytes is 32768");
+            setting
+                .record
+                .line("version 9 acknowledged: maxHeaderBytes is 32768");
             thread::sleep(APPLY_TIME);
         }
         for (index, kept) in clients.iter_mut().enumerate() {
@@ -81,7 +83,8 @@
             let outcome = client.receive(None);
             record_outcome(setting, &id, &outcome);
             let status = outcome.status.unwrap_or(0);
-            refused += usize::from((300..500).contains(&status) && ![408, 421, 429].contains(&status));
+            refused +=
+                usize::from((300..500).contains(&status) && ![408, 421, 429].contains(&status));
             *kept = (status == 200).then_some(client);
         }
         thread::sleep(PAUSE);
--- a/review/standins-2/cases/mod.rs
+++ b/review/standins-2/cases/mod.rs
@@ -1,10 +1,10 @@
 //! The cases, and what their configurations have in common.
 
-mod grace;
 mod header_limit;
 mod moved_store;
 mod odd_entries;
 mod slow_clients;
+mod stale_entry;
 
 use std::net::SocketAddr;
 
@@ -28,7 +28,7 @@
         "moved-store" => moved_store::run,
         "header-limit" => header_limit::run,
         "slow-clients" => slow_clients::run,
-        "grace" => grace::run,
+        "stale-entry" => stale_entry::run,
         _ => return None,
     })
 }
--- a/review/standins-2/cases/moved_store.rs
+++ b/review/standins-2/cases/moved_store.rs
@@ -46,7 +46,9 @@
         setting.fleet.write_settings(&entry, moved.addr(), SMALL)?;
         setting.fleet.signal(&entry, "HUP")?;
         store.stop();
-        setting.record.line("the store has moved, the settings name its address, SIGHUP sent");
+        setting
+            .record
+            .line("the store has moved, the settings name its address, SIGHUP sent");
         moved
     } else {
         store
@@ -58,7 +60,9 @@
         ..ORDERS
     };
     current.put(CONFIG.0, CONFIG.1, &changed.to_json());
-    setting.record.line("version 9 acknowledged: the route goes to shop-2 instead of shop");
+    setting
+        .record
+        .line("version 9 acknowledged: the route goes to shop-2 instead of shop");
     thread::sleep(APPLY_TIME);
     let before = old.runs().len();
     for n in 0..REQUESTS {
@@ -68,7 +72,9 @@
     }
     let outdated = old.runs().len() - before;
     let current = new.runs().len();
-    setting.record.line(&format!("run by shop: {outdated}, run by shop-2: {current}"));
+    setting.record.line(&format!(
+        "run by shop: {outdated}, run by shop-2: {current}"
+    ));
     Ok(if outdated > 0 {
         Verdict::Broken
     } else {
--- a/review/standins-2/cases/slow_clients.rs
+++ b/review/standins-2/cases/slow_clients.rs
@@ -79,8 +79,13 @@
         Ok(lost.filter(|lost| matches!(lost, Ok(true))).count())
     })?;
     let runs = replica.runs();
-    let ran = runs.iter().filter(|run| run.id.starts_with("order")).count();
-    setting.record.line(&format!("{ran} of these requests ran, {lost} answers were cut"));
+    let ran = runs
+        .iter()
+        .filter(|run| run.id.starts_with("order"))
+        .count();
+    setting.record.line(&format!(
+        "{ran} of these requests ran, {lost} answers were cut"
+    ));
     Ok(if lost > 0 && ran > 0 {
         Verdict::Broken
     } else {
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -99,7 +99,10 @@
             created,
             spec: spec.to_owned(),
         };
-        let json = format!("{{\"object\":{},\"deleted\":false}}", to_json(name, &object));
+        let json = format!(
+            "{{\"object\":{},\"deleted\":false}}",
+            to_json(name, &object)
+        );
         state.objects.insert(key, object);
         state.push_event(kind, json);
         drop(state);
