--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -8,4 +8,4 @@
     echo "build first: the command of deploy/system.toml, then review/build-2.sh"
     exit 2
 fi
-exec "$standins" moved-store "$program" review/7 "${TROUBLE:-1}"
+exec "$standins" grace "$program" review/7 "${TROUBLE:-1}"
--- a/review/standins-2/replica.rs
+++ b/review/standins-2/replica.rs
@@ -23,6 +23,8 @@
     Body(usize),
     /// With such a body after some time.
     After(Duration, usize),
+    /// With a stream of so many events, one each interval.
+    Stream(u32, Duration),
 }
 
 /// A request that ran.
@@ -151,9 +153,28 @@
                 thread::sleep(work);
                 length
             }
+            Answer::Stream(events, interval) => return send_stream(to, &head, events, interval),
         };
         let head = format!("{head}Content-Length: {length}\r\n\r\n");
         to.write_all(head.as_bytes())?;
         to.write_all(&vec![b'x'; length])
     }
 }
+
+fn send_stream(
+    to: &mut TcpStream,
+    head: &str,
+    events: u32,
+    interval: Duration,
+) -> std::io::Result<()> {
+    let head =
+        format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    to.write_all(head.as_bytes())?;
+    for event in 1..=events {
+        let text = format!("id: {event}\ndata: part {event}\n\n");
+        let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+        to.write_all(chunk.as_bytes())?;
+        thread::sleep(interval);
+    }
+    to.write_all(b"0\r\n\r\n")
+}
