--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -8,4 +8,8 @@
     echo "build first: the command of deploy/system.toml, then review/build-2.sh"
     exit 2
 fi
-exec "$standins" grace "$program" review/7 "${TROUBLE:-1}"
+# A process group of its own, so that a run that is broken off leaves no process behind.
+set -m
+"$standins" grace "$program" review/7 "${TROUBLE:-1}" &
+trap 'kill -KILL -- -$!; exit 2' INT TERM
+wait $!
