--- a/review/standins-2/cases/slow_clients.rs
+++ b/review/standins-2/cases/slow_clients.rs
@@ -1,4 +1,4 @@
-//! Clients that pause while they read, and a planned stop.
+//! Clients that read slowly, and a planned stop.
 
 use std::thread;
 use std::time::Duration;
@@ -29,10 +29,10 @@
 const CLIENTS: usize = 6;
 
 /// Size of an answer.
-const ANSWER_BYTES: usize = 400_000;
+const ANSWER_BYTES: usize = 250_000;
 
-/// Time for which a client reads nothing.
-const PAUSE: Duration = Duration::from_secs(4);
+/// Rest of a client after each 16 KiB, which makes about 40 KB a second.
+const PAUSE: Duration = Duration::from_millis(400);
 
 /// Time from the requests to SIGTERM.
 const TERM_DELAY: Duration = Duration::from_millis(300);
--- a/review/standins-2/client.rs
+++ b/review/standins-2/client.rs
@@ -86,7 +86,7 @@
         self.stream.write_all(text.as_bytes())
     }
 
-    /// Reads the answer; with a pause, it reads nothing for so long after the first bytes of the body.
+    /// Reads the answer; with a pause, it rests for so long after each part of the body.
     pub fn receive(&mut self, pause: Option<Duration>) -> Outcome {
         let Ok(Some(head)) = read_head(&mut self.reader) else {
             return Outcome::NOTHING;
@@ -103,7 +103,7 @@
     fn receive_body(
         &mut self,
         head: &Message,
-        mut pause: Option<Duration>,
+        pause: Option<Duration>,
         received: &mut usize,
     ) -> io::Result<()> {
         if head.header("transfer-encoding").is_some() {
@@ -118,7 +118,7 @@
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
             *received += n;
-            if let Some(pause) = pause.take() {
+            if let Some(pause) = pause {
                 thread::sleep(pause);
             }
         }
