--- a/review/standins-2/cases/mod.rs
+++ b/review/standins-2/cases/mod.rs
@@ -1,6 +1,6 @@
 //! The cases, and what their configurations have in common.
 
-mod grace;
+mod false_refusal;
 mod header_limit;
 mod odd_entries;
 mod slow_clients;
@@ -22,7 +22,7 @@
 pub fn find(name: &str) -> Option<Case> {
     Some(match name {
         "odd-entries" => odd_entries::run,
-        "grace" => grace::run,
+        "false-refusal" => false_refusal::run,
         "header-limit" => header_limit::run,
         "slow-clients" => slow_clients::run,
         "stale-entry" => stale_entry::run,
--- a/review/standins-2/client.rs
+++ b/review/standins-2/client.rs
@@ -1,7 +1,6 @@
 //! Stand-in for a client, with one kept connection.
 
 use std::io;
-use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Read;
 use std::io::Write;
@@ -106,9 +105,6 @@
         pause: Option<Duration>,
         received: &mut usize,
     ) -> io::Result<()> {
-        if head.header("transfer-encoding").is_some() {
-            return self.receive_chunks(received);
-        }
         let length = head.content_length();
         let mut buf = vec![0; READ_BYTES];
         while *received < length {
@@ -124,21 +120,4 @@
         }
         Ok(())
     }
-
-    fn receive_chunks(&mut self, received: &mut usize) -> io::Result<()> {
-        loop {
-            let mut line = String::new();
-            if self.reader.read_line(&mut line)? == 0 {
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            }
-            let length = usize::from_str_radix(line.trim_end(), 16);
-            let length = length.map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
-            let mut chunk = vec![0; length + 2];
-            self.reader.read_exact(&mut chunk)?;
-            if length == 0 {
-                return Ok(());
-            }
-            *received += length;
-        }
-    }
 }
--- a/review/standins-2/replica.rs
+++ b/review/standins-2/replica.rs
@@ -10,6 +10,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -23,10 +25,12 @@
     Body(usize),
     /// With such a body after some time.
     After(Duration, usize),
-    /// With a stream of so many events, one each interval.
-    Stream(u32, Duration),
 }
 
+/// Of so many requests one after the other, [`FAILURES`] fail while the replica is failing.
+const FAILURE_PERIOD: usize = 5;
+const FAILURES: usize = 2;
+
 /// A request that ran.
 #[derive(Clone)]
 pub struct Run {
@@ -45,6 +49,8 @@
     zone: String,
     answer: Answer,
     runs: Arc<Mutex<Vec<Run>>>,
+    /// Whether it fails a part of the requests that it has run.
+    is_failing: Arc<AtomicBool>,
     /// Open connections; `None` once the replica has ended.
     connections: Arc<Mutex<Option<Vec<TcpStream>>>>,
 }
@@ -60,6 +66,7 @@
             zone: zone.to_owned(),
             answer,
             runs: Arc::default(),
+            is_failing: Arc::default(),
             connections: Arc::new(Mutex::new(Some(Vec::new()))),
         };
         let accepting = replica.clone();
@@ -84,6 +91,12 @@
         )
     }
 
+    /// Sets whether it fails a part of the requests that it has run, with status 503 and without saying
+    /// that it did not run them.
+    pub fn set_failing(&self, is_failing: bool) {
+        self.is_failing.store(is_failing, Ordering::Relaxed);
+    }
+
     /// Ends the replica with all its connections.
     pub fn end(&self) {
         let connections = self.lock_connections().take();
@@ -142,39 +155,27 @@
         let run = Run { id: id.to_owned() };
         let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
         runs.push(run);
+        let number = runs.len();
         drop(runs);
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: {}\r\n",
-            self.id
-        );
         let length = match self.answer {
             Answer::Body(length) => length,
             Answer::After(work, length) => {
                 thread::sleep(work);
                 length
             }
-            Answer::Stream(events, interval) => return send_stream(to, &head, events, interval),
         };
-        let head = format!("{head}Content-Length: {length}\r\n\r\n");
+        let fails = self.is_failing.load(Ordering::Relaxed) && number % FAILURE_PERIOD < FAILURES;
+        let (status, length) = if fails {
+            ("503 Service Unavailable", 0)
+        } else {
+            ("200 OK", length)
+        };
+        let head = format!(
+            "HTTP/1.1 {status}\r\nAttempt-Id: {id}\r\nResponse-Seal: {}\r\n\
+             Content-Length: {length}\r\n\r\n",
+            self.id
+        );
         to.write_all(head.as_bytes())?;
         to.write_all(&vec![b'x'; length])
     }
 }
-
-fn send_stream(
-    to: &mut TcpStream,
-    head: &str,
-    events: u32,
-    interval: Duration,
-) -> std::io::Result<()> {
-    let head =
-        format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
-    to.write_all(head.as_bytes())?;
-    for event in 1..=events {
-        let text = format!("id: {event}\ndata: part {event}\n\n");
-        let chunk = format!("{:x}\r\n{text}\r\n", text.len());
-        to.write_all(chunk.as_bytes())?;
-        thread::sleep(interval);
-    }
-    to.write_all(b"0\r\n\r\n")
-}
