--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -10,6 +10,6 @@
 fi
 # A process group of its own, so that a run that is broken off leaves no process behind.
 set -m
-"$standins" stale-entry "$program" review/10 "${TROUBLE:-1}" &
+"$standins" next-order "$program" review/10 "${TROUBLE:-1}" &
 trap 'kill -KILL -- -$!; exit 2' INT TERM
 wait $!
--- a/review/standins-2/cases/false_refusal.rs
+++ b/review/standins-2/cases/false_refusal.rs
@@ -14,6 +14,7 @@
 use crate::Verdict;
 use crate::client::Client;
 use crate::replica::Answer;
+use crate::replica::Failure;
 use crate::replica::Replica;
 use crate::store::Store;
 
@@ -24,6 +25,12 @@
 /// Time that an order takes at a replica.
 const WORK: Duration = Duration::from_millis(30);
 
+/// How the replica fails.
+const FAILURE: Failure = Failure {
+    status: "503 Service Unavailable",
+    in_ten: 4,
+};
+
 /// Time before the failures, with them, and after them.
 const CALM: Duration = Duration::from_secs(4);
 const FAILING: Duration = Duration::from_secs(6);
@@ -60,13 +67,13 @@
             .collect();
         thread::sleep(CALM);
         if setting.has_trouble {
-            replicas[0].set_failing(true);
+            replicas[0].set_failure(Some(FAILURE));
             setting
                 .record
                 .line("i-0 fails two in five of the orders that it has run, with 503");
         }
         thread::sleep(FAILING);
-        replicas[0].set_failing(false);
+        replicas[0].set_failure(None);
         thread::sleep(CALM);
         is_over.store(true, Ordering::Relaxed);
         let attempts = clients
--- a/review/standins-2/cases/mod.rs
+++ b/review/standins-2/cases/mod.rs
@@ -2,9 +2,9 @@
 
 mod false_refusal;
 mod header_limit;
+mod next_order;
 mod odd_entries;
 mod slow_clients;
-mod stale_entry;
 
 use crate::Case;
 use crate::Setting;
@@ -24,8 +24,8 @@
         "odd-entries" => odd_entries::run,
         "false-refusal" => false_refusal::run,
         "header-limit" => header_limit::run,
+        "next-order" => next_order::run,
         "slow-clients" => slow_clients::run,
-        "stale-entry" => stale_entry::run,
         _ => return None,
     })
 }
--- a/review/standins-2/replica.rs
+++ b/review/standins-2/replica.rs
@@ -2,7 +2,6 @@
 
 use std::io::BufReader;
 use std::io::Write;
-use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
@@ -10,8 +9,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -27,9 +24,21 @@
     After(Duration, usize),
 }
 
-/// Of so many requests one after the other, [`FAILURES`] fail while the replica is failing.
-const FAILURE_PERIOD: usize = 5;
-const FAILURES: usize = 2;
+/// How a replica fails a part of the requests that it has run.
+#[derive(Clone, Copy)]
+pub struct Failure {
+    /// The status, with its reason.
+    pub status: &'static str,
+    /// How many requests in ten.
+    pub in_ten: usize,
+}
+
+/// State of a replica in its announcement.
+#[derive(Clone, Copy)]
+pub enum State {
+    Ready,
+    Draining,
+}
 
 /// A request that ran.
 #[derive(Clone)]
@@ -47,34 +56,40 @@
     pub addr: SocketAddr,
     service: String,
     zone: String,
+    version: String,
     answer: Answer,
     runs: Arc<Mutex<Vec<Run>>>,
-    /// Whether it fails a part of the requests that it has run.
-    is_failing: Arc<AtomicBool>,
-    /// Open connections; `None` once the replica has ended.
-    connections: Arc<Mutex<Option<Vec<TcpStream>>>>,
+    failure: Arc<Mutex<Option<Failure>>>,
 }
 
 impl Replica {
-    /// Starts a replica.
+    /// Starts a replica of version v1.
     pub fn start(id: &str, service: &str, zone: &str, answer: Answer) -> Result<Self, String> {
+        Self::start_version(id, service, zone, "v1", answer)
+    }
+
+    /// Starts a replica.
+    pub fn start_version(
+        id: &str,
+        service: &str,
+        zone: &str,
+        version: &str,
+        answer: Answer,
+    ) -> Result<Self, String> {
         let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
         let replica = Self {
             id: id.to_owned(),
             addr: listener.local_addr().map_err(|e| e.to_string())?,
             service: service.to_owned(),
             zone: zone.to_owned(),
+            version: version.to_owned(),
             answer,
             runs: Arc::default(),
-            is_failing: Arc::default(),
-            connections: Arc::new(Mutex::new(Some(Vec::new()))),
+            failure: Arc::default(),
         };
         let accepting = replica.clone();
         thread::spawn(move || {
             while let Ok((stream, _)) = listener.accept() {
-                if !accepting.keep(&stream) {
-                    return;
-                }
                 let replica = accepting.clone();
                 thread::spawn(move || replica.serve(stream));
             }
@@ -82,44 +97,34 @@
         Ok(replica)
     }
 
-    /// Returns its announcement.
+    /// Returns its announcement as a ready replica.
     pub fn announcement(&self) -> String {
+        self.announcement_as(State::Ready)
+    }
+
+    /// Returns its announcement.
+    pub fn announcement_as(&self, state: State) -> String {
         let (service, addr, zone) = (&self.service, self.addr, &self.zone);
+        let version = &self.version;
+        let state = match state {
+            State::Ready => "ready",
+            State::Draining => "draining",
+        };
         format!(
-            "{{\"service\":\"{service}\",\"address\":\"{addr}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
-             \"slots\":6,\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":1,\"born\":1765065600000}}"
+            "{{\"service\":\"{service}\",\"address\":\"{addr}\",\"zone\":\"{zone}\",\
+             \"version\":\"{version}\",\"slots\":6,\"state\":\"{state}\",\"coldLeftMs\":0,\
+             \"seq\":1,\"born\":1765065600000}}"
         )
     }
 
-    /// Sets whether it fails a part of the requests that it has run, with status 503 and without saying
-    /// that it did not run them.
-    pub fn set_failing(&self, is_failing: bool) {
-        self.is_failing.store(is_failing, Ordering::Relaxed);
-    }
-
-    /// Ends the replica with all its connections.
-    pub fn end(&self) {
-        let connections = self.lock_connections().take();
-        for connection in connections.into_iter().flatten() {
-            let _closed = connection.shutdown(Shutdown::Both);
-        }
-        // Wakes the accepting thread, which drops its listener.
-        let _woken = TcpStream::connect(self.addr);
-    }
-
-    /// Keeps a connection to close it at the end; returns whether the replica still runs.
-    fn keep(&self, stream: &TcpStream) -> bool {
-        let mut connections = self.lock_connections();
-        let Some(connections) = connections.as_mut() else {
-            return false;
-        };
-        connections.extend(stream.try_clone());
-        true
+    /// Sets how it fails a part of the requests that it has run. Such an answer doesn't say that the
+    /// request has not run.
+    pub fn set_failure(&self, failure: Option<Failure>) {
+        *self.lock_failure() = failure;
     }
 
-    fn lock_connections(&self) -> MutexGuard<'_, Option<Vec<TcpStream>>> {
-        let connections = self.connections.lock();
-        connections.unwrap_or_else(PoisonError::into_inner)
+    fn lock_failure(&self) -> MutexGuard<'_, Option<Failure>> {
+        self.failure.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns the requests that ran.
@@ -164,11 +169,12 @@
                 length
             }
         };
-        let fails = self.is_failing.load(Ordering::Relaxed) && number % FAILURE_PERIOD < FAILURES;
-        let (status, length) = if fails {
-            ("503 Service Unavailable", 0)
-        } else {
-            ("200 OK", length)
+        let failure = self
+            .lock_failure()
+            .filter(|failure| number % 10 < failure.in_ten);
+        let (status, length) = match failure {
+            Some(failure) => (failure.status, 0),
+            None => ("200 OK", length),
         };
         let head = format!(
             "HTTP/1.1 {status}\r\nAttempt-Id: {id}\r\nResponse-Seal: {}\r\n\
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -28,6 +28,7 @@
     revision: u64,
     created: u64,
     spec: String,
+    status: String,
 }
 
 struct Event {
@@ -82,15 +83,37 @@
 
     /// Creates an object or replaces its spec, which is JSON.
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
+        self.write(kind, name, Some(spec), None);
+    }
+
+    /// Returns the status of an object, which is JSON.
+    pub fn status(&self, kind: &str, name: &str) -> String {
+        let state = self.lock();
+        let key = (kind.to_owned(), name.to_owned());
+        let object = state.objects.get(&key);
+        object.map_or(String::new(), |object| object.status.clone())
+    }
+
+    fn write(&self, kind: &str, name: &str, spec: Option<&str>, status: Option<&str>) {
         let mut state = self.lock();
         state.revision += 1;
         let revision = state.revision;
         let key = (kind.to_owned(), name.to_owned());
-        let created = state.objects.get(&key).map_or(revision, |o| o.created);
+        let known = state.objects.get(&key);
+        let created = known.map_or(revision, |o| o.created);
+        let spec = spec
+            .or(known.map(|o| &*o.spec))
+            .unwrap_or("null")
+            .to_owned();
+        let status = status
+            .or(known.map(|o| &*o.status))
+            .unwrap_or("null")
+            .to_owned();
         let object = Object {
             revision,
             created,
-            spec: spec.to_owned(),
+            spec,
+            status,
         };
         let json = format!(
             "{{\"object\":{},\"deleted\":false}}",
@@ -167,6 +190,13 @@
                 self.put(kind, &name, &value_field(&body, "spec"));
                 self.get(kind, &name)
             }
+            ("PUT", Some(name)) if parts.next() == Some("status") => {
+                if !self.is_revision(kind, name, &body) {
+                    return (409, self.get(kind, name).1);
+                }
+                self.write(kind, name, None, Some(&value_field(&body, "status")));
+                self.get(kind, name)
+            }
             ("PUT", Some(name)) => {
                 self.put(kind, name, &value_field(&body, "spec"));
                 self.get(kind, name)
@@ -176,6 +206,20 @@
         }
     }
 
+    /// Returns whether a document names the revision of an object, if it names any.
+    fn is_revision(&self, kind: &str, name: &str, json: &str) -> bool {
+        let Some((_, rest)) = json.split_once("\"revision\":") else {
+            return true;
+        };
+        let end = rest
+            .find(|c: char| !c.is_ascii_digit())
+            .unwrap_or(rest.len());
+        let state = self.lock();
+        let key = (kind.to_owned(), name.to_owned());
+        let object = state.objects.get(&key);
+        object.is_some_and(|object| object.revision == number(&rest[..end]))
+    }
+
     fn get(&self, kind: &str, name: &str) -> (u16, String) {
         let state = self.lock();
         let key = (kind.to_owned(), name.to_owned());
@@ -247,10 +291,11 @@
         revision,
         created,
         spec,
+        status,
     } = object;
     format!(
         "{{\"metadata\":{{\"name\":\"{name}\",\"revision\":{revision},\"created\":{created}}},\
-         \"spec\":{spec},\"status\":null}}"
+         \"spec\":{spec},\"status\":{status}}}"
     )
 }
 
