--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -365,11 +365,14 @@
                     let sent_at = in_flight.started_at();
                     self.entry.record_no_rate_limit(endpoint, sent_at);
                 }
-                let is_failure = parts.status.is_server_error();
-                if !is_failure || !self.should_retry_server_error() {
+                let is_retried = parts.status.is_server_error() && self.should_retry_server_error();
+                // The endpoint has executed the request, so a promise that it has not is not passed on.
+                let caller_protocol = self.entry.caller_protocol();
+                let is_false_promise = caller_protocol.promises_no_execution(parts.status);
+                if !is_retried && !is_false_promise {
                     return Ok((Response::from_parts(parts, body), head, connection));
                 }
-                AttemptFailure::server_error(endpoint, parts.status)
+                AttemptFailure::failed(endpoint, parts.status)
             }
             ResponseMatch::NotExecuted { misdirected } => {
                 in_flight.head_received(head.load);
--- a/crates/direct/src/forward/failure.rs
+++ b/crates/direct/src/forward/failure.rs
@@ -93,8 +93,8 @@
         }
     }
 
-    /// The endpoint responded with a server error, and may have executed the request.
-    pub(super) fn server_error(endpoint: &Endpoint, status: StatusCode) -> Self {
+    /// The endpoint responded with a failure, and may have executed the request.
+    pub(super) fn failed(endpoint: &Endpoint, status: StatusCode) -> Self {
         let detail = format!("endpoint {} responded with status {status}", endpoint.name);
         Self {
             error: Error::new(Kind::OutcomeUnknown, detail),
--- a/crates/direct/src/protocol.rs
+++ b/crates/direct/src/protocol.rs
@@ -8,6 +8,7 @@
 use eelgrassramp::PromptPart;
 use eelgrassramp::Result;
 use http::HeaderMap;
+use http::StatusCode;
 use http::request;
 use http::response;
 
@@ -142,6 +143,10 @@
     /// Adds the delay before the caller may retry to a response's headers.
     fn set_retry_after(&self, headers: &mut HeaderMap, retry_after: Duration);
 
+    /// Returns whether callers take a status as the promise that the request was not executed and never
+    /// will be.
+    fn promises_no_execution(&self, status: StatusCode) -> bool;
+
     /// Returns the path of the readiness check used by the load balancer in front.
     fn readiness_path(&self) -> &'static str;
 }
