--- a/crates/direct/src/dispatcher.rs
+++ b/crates/direct/src/dispatcher.rs
@@ -14,6 +14,7 @@
 mod restriction;
 mod rollouts;
 mod shares;
+mod withdrawn;
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -220,9 +221,11 @@
     pub fn ready_endpoints(&self, now: Monotonic, pool: &PoolName) -> usize {
         let pool = self.pools.get(pool);
         pool.map_or(0, |p| {
+            let barred = p.barred_versions();
             p.trackers
                 .values()
                 .filter(|tracker| tracker.accepts_requests(now))
+                .filter(|tracker| !barred.contains(&&tracker.endpoint().version))
                 .count()
         })
     }
@@ -352,6 +355,7 @@
         for pool in self.pools.values_mut() {
             pool.decay_failure_rates(now);
             pool.queue.expire(now);
+            pool.expire_withdrawn(now);
         }
         self.restrictions.expire(now);
         self.rate_limits.expire(now);
--- a/crates/direct/src/dispatcher/pool.rs
+++ b/crates/direct/src/dispatcher/pool.rs
@@ -14,6 +14,7 @@
 use super::peer_entries::PeerEntries;
 use super::rate_limit::RateLimits;
 use super::retry_delay;
+use super::withdrawn::WithdrawnVersions;
 use crate::endpoint::Endpoint;
 use crate::endpoint_tracker::DispatchEnd;
 use crate::endpoint_tracker::EndpointTracker;
@@ -65,6 +66,7 @@
     pub(super) rollout: Option<Rollout>,
     /// The last rollout, once it no longer restricts which endpoints are used.
     finished_rollout: Option<Rollout>,
+    pub(super) withdrawn: WithdrawnVersions,
     /// Rate limit of each cold endpoint in requests per second; `None` if there is no limit.
     pub(super) cold_rate_limit: Option<f64>,
     decayed_at: Monotonic,
@@ -96,10 +98,12 @@
     /// Returns when the first endpoint accepts requests again, if all endpoints in service asked for
     /// a backoff.
     pub(super) fn all_backed_off_until(&self, now: Monotonic) -> Option<Monotonic> {
+        let barred = self.barred_versions();
         let in_service = self
             .trackers
             .values()
-            .filter(|tracker| tracker.is_in_service());
+            .filter(|tracker| tracker.is_in_service())
+            .filter(|tracker| !barred.contains(&&tracker.endpoint().version));
         let until = in_service.map(EndpointTracker::backoff_until).min();
         until.filter(|until| *until > now)
     }
@@ -225,6 +229,10 @@
         let Some(rollout) = &mut self.rollout else {
             return;
         };
+        if self.withdrawn.contains(&endpoint.version) {
+            // The new version is compared with those that it replaces.
+            return;
+        }
         let (is_bad, slowness) = match end {
             DispatchEnd::Served { slowness } => (false, slowness),
             DispatchEnd::Failed | DispatchEnd::Disconnected | DispatchEnd::TimedOut => {
@@ -243,13 +251,25 @@
         order: RolloutOrder,
         limits: ExposureLimits,
     ) -> Option<Report> {
+        if let Some(version) = &order.rolled_back_before {
+            self.withdrawn.record_roll_back(now, version);
+        }
         if let Some(rollout) = self.rollout_of(&order) {
             return rollout.update_order(order);
         }
+        self.end_rollout(now);
+        self.withdrawn.reinstate(&order.new_version);
         self.rollout = Some(Rollout::new(now, order, limits));
         None
     }
 
+    /// Ends the rollout in progress, because its order was replaced or deleted.
+    fn end_rollout(&mut self, now: Monotonic) {
+        if let Some(rollout) = self.rollout.take() {
+            self.withdrawn.record_end(now, &rollout);
+        }
+    }
+
     fn rollout_of(&mut self, order: &RolloutOrder) -> Option<&mut Rollout> {
         let known = [&mut self.rollout, &mut self.finished_rollout];
         let mut known = known.into_iter().flatten();
@@ -259,11 +279,16 @@
     }
 
     /// Forgets the rollout, because its order was deleted.
-    pub(super) fn drop_rollout(&mut self) {
-        self.rollout = None;
+    pub(super) fn drop_rollout(&mut self, now: Monotonic) {
+        self.end_rollout(now);
         self.finished_rollout = None;
     }
 
+    /// Forgets withdrawn versions that have had no endpoints for some time.
+    pub(super) fn expire_withdrawn(&mut self, now: Monotonic) {
+        self.withdrawn.expire(now, self.trackers.values());
+    }
+
     pub(super) fn advance_rollout(&mut self, now: Monotonic) -> Option<Report> {
         let rollout = self.rollout.as_mut()?;
         if rollout.is_over(now) {
@@ -361,10 +386,12 @@
     ) -> Option<Grant> {
         let mean_failure_rate = self.pool_failure_rate();
         let extra = extra_slots(request);
+        let barred = self.barred_versions();
         let ready = || {
             self.trackers
                 .values()
                 .filter(|tracker| tracker.accepts_requests(now))
+                .filter(|tracker| !barred.contains(&&tracker.endpoint().version))
         };
         let should_avoid = |tracker: &EndpointTracker| {
             tracker.is_avoided(now, mean_failure_rate) || tracker.is_stalled(now, STALL_TIMEOUT)
--- a/crates/direct/src/dispatcher/rollouts.rs
+++ b/crates/direct/src/dispatcher/rollouts.rs
@@ -12,7 +12,7 @@
 use crate::rollout::RolloutOrder;
 
 impl Dispatcher {
-    /// Sets the operators' rollout orders; a rollout without an order is dropped. Returns the reports to
+    /// Sets the operators' rollout orders; a rollout without an order ends. Returns the reports to
     /// repeat.
     pub fn set_orders(
         &mut self,
@@ -22,7 +22,7 @@
     ) -> Vec<Report> {
         for (name, pool) in &mut self.pools {
             if !orders.iter().any(|order| order.pool == *name) {
-                pool.drop_rollout();
+                pool.drop_rollout(now);
             }
         }
         let mut reports = Vec::new();
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -241,7 +241,13 @@
                 "duration_ms" => millis(order.duration));
         }
         let limits = self.limits.load().exposure;
-        let reports = self.lock().dispatcher.set_orders(now, orders, limits);
+        let mut state = self.lock();
+        let reports = state.dispatcher.set_orders(now, orders, limits);
+        for (pool, version) in state.dispatcher.withdrawn_versions() {
+            info!(self.cx.log, "version withdrawn"; "pool" => pool.as_str(),
+                "version" => version.as_str());
+        }
+        drop(state);
         self.publish_reports(reports);
     }
 
--- a/crates/direct/src/entry/state.rs
+++ b/crates/direct/src/entry/state.rs
@@ -62,6 +62,8 @@
         gauges.push(Gauge::new("endpoints_cold", cold));
         let evacuated = self.dispatcher.evacuated_domains().len() as f64;
         gauges.push(Gauge::new("domains_emptied", evacuated));
+        let withdrawn = self.dispatcher.withdrawn_versions().count() as f64;
+        gauges.push(Gauge::new("versions_withdrawn", withdrawn));
         let blocked = self.crash_attribution.blocked_parts().count() as f64;
         gauges.push(Gauge::new("prompt_parts_blocked", blocked));
         for (pool, queued) in self.dispatcher.queued_by_pool() {
--- a/crates/direct/src/rollout/order.rs
+++ b/crates/direct/src/rollout/order.rs
@@ -25,6 +25,9 @@
     pub duration: Duration,
     /// Outcome that was already reported for this order, if any.
     pub outcome: Option<RolloutOutcome>,
+    /// Version of an earlier order in the same object, if the report on its roll-back still stands
+    /// there.
+    pub rolled_back_before: Option<VersionName>,
 }
 
 impl RolloutOrder {
--- a/crates/direct/tests/dispatcher/fixture.rs
+++ b/crates/direct/tests/dispatcher/fixture.rs
@@ -59,6 +59,7 @@
         new_version: VersionName::from(version),
         duration: Duration::from_secs(15),
         outcome: None,
+        rolled_back_before: None,
     }
 }
 
--- a/crates/direct/tests/dispatcher/main.rs
+++ b/crates/direct/tests/dispatcher/main.rs
@@ -8,3 +8,4 @@
 mod peer_rollouts;
 mod rate_limit;
 mod rollout_orders;
+mod withdrawn;
--- a/crates/direct/tests/rollout.rs
+++ b/crates/direct/tests/rollout.rs
@@ -40,6 +40,7 @@
         new_version: VersionName::from("v2"),
         duration: Duration::from_millis(DURATION_MS),
         outcome: None,
+        rolled_back_before: None,
     }
 }
 
--- a/crates/direct/tests/rollout_fleet/fleet.rs
+++ b/crates/direct/tests/rollout_fleet/fleet.rs
@@ -206,6 +206,7 @@
                     new_version: version_name(2),
                     duration: Duration::from_millis(ORDER_MS),
                     outcome: None,
+                    rolled_back_before: None,
                 },
                 ordered_ms: 0,
                 accepted_ms: None,
