--- a/crates/direct/src/dispatcher/pool.rs
+++ b/crates/direct/src/dispatcher/pool.rs
@@ -286,7 +286,7 @@
 
     /// Forgets withdrawn versions that have had no endpoints for some time.
     pub(super) fn expire_withdrawn(&mut self, now: Monotonic) {
-        self.withdrawn.expire(now, self.trackers.values());
+        self.withdrawn.expire(now, &self.trackers);
     }
 
     pub(super) fn advance_rollout(&mut self, now: Monotonic) -> Option<Report> {
--- a/crates/direct/src/dispatcher/withdrawn.rs
+++ b/crates/direct/src/dispatcher/withdrawn.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use eelgrassramp::EndpointName;
 use eelgrassramp::Monotonic;
 use eelgrassramp::PoolName;
 use eelgrassramp::VersionName;
@@ -92,14 +93,14 @@
     }
 
     /// Forgets versions that have had no endpoints for some time.
-    pub(super) fn expire<'a>(
+    pub(super) fn expire(
         &mut self,
         now: Monotonic,
-        trackers: impl Iterator<Item = &'a EndpointTracker> + Clone,
+        trackers: &BTreeMap<EndpointName, EndpointTracker>,
     ) {
         self.versions.retain(|version, withdrawal| {
             let has_endpoints = trackers
-                .clone()
+                .values()
                 .any(|tracker| tracker.endpoint().version == *version);
             if has_endpoints {
                 withdrawal.seen_at = now;
