--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -60,6 +60,7 @@
 use crate::rollout::ReportSink;
 use crate::rollout::RolloutOrder;
 use crate::stall::SuspensionDetector;
+use crate::tables::Limits;
 use crate::tables::Tables;
 
 /// Interval of [`Entry::run_periodic_work`].
@@ -330,6 +331,11 @@
         &self.log_limiter
     }
 
+    /// Returns the limits on what callers send that are in force now.
+    pub(crate) fn limits_of_callers(&self) -> Limits {
+        self.tables().map(|t| *t.limits()).unwrap_or_default()
+    }
+
     pub(crate) fn caller_protocol(&self) -> &dyn CallerProtocol {
         &*self.caller_protocol
     }
--- a/crates/direct/src/handle.rs
+++ b/crates/direct/src/handle.rs
@@ -114,6 +114,7 @@
             Refusal::with_retry_after(Kind::PoolUnavailable, detail, NO_TABLES_RETRY_AFTER)
         })?;
     request_log.tables = current_tables.version();
+    check_head_size(&parts, current_tables.limits().header_bytes)?;
     let route = find_route(&current_tables, &parts)?;
     request_log.route = route.name.clone();
     let account = find_account(&current_tables, &route, &request_head)?;
@@ -215,6 +216,26 @@
     Err(Error::new(Kind::BadRequest, detail).into())
 }
 
+/// Rejects a head that is larger than the tables allow.
+fn check_head_size(parts: &Parts, max_bytes: usize) -> Result<(), Refusal> {
+    let bytes = head_bytes(parts);
+    if bytes <= max_bytes {
+        return Ok(());
+    }
+    let detail = format!("request head of {bytes} bytes exceeds {max_bytes}");
+    Err(Error::new(Kind::HeadTooLarge, detail).into())
+}
+
+/// Returns the size of a head as callers usually write it.
+fn head_bytes(parts: &Parts) -> usize {
+    const SEPARATORS: usize = "  HTTP/1.1\r\n\r\n".len();
+    const FIELD_SEPARATORS: usize = ": \r\n".len();
+    let target = parts.uri.path_and_query().map_or(0, |p| p.as_str().len());
+    let fields = parts.headers.iter();
+    let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + FIELD_SEPARATORS);
+    parts.method.as_str().len() + target + SEPARATORS + fields.sum::<usize>()
+}
+
 fn find_route(current_tables: &Tables, parts: &Parts) -> Result<Arc<Route>, Refusal> {
     let host = parts.headers.get(HOST).and_then(|h| h.to_str().ok());
     let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
--- a/crates/direct/src/request_body.rs
+++ b/crates/direct/src/request_body.rs
@@ -59,9 +59,9 @@
     _reservation: Arc<Reservation>,
 }
 
-/// Part of the total that one body takes, until it is dropped.
+/// Part of the total that one body or head takes, until it is dropped.
 #[derive(Debug)]
-struct Reservation {
+pub(crate) struct Reservation {
     budget: Arc<Budget>,
     bytes: usize,
 }
@@ -113,7 +113,8 @@
         })
     }
 
-    fn reserve_nothing(&self) -> Reservation {
+    /// Returns a reservation that can be extended.
+    pub(crate) fn reserve_nothing(&self) -> Reservation {
         Reservation {
             budget: Arc::clone(&self.budget),
             bytes: 0,
@@ -129,7 +130,12 @@
 }
 
 impl Reservation {
-    fn extend(&mut self, n: usize) -> Result<()> {
+    /// Takes a further part of the total.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::Overloaded`] when all requests are too large together.
+    pub(crate) fn extend(&mut self, n: usize) -> Result<()> {
         let total = self.budget.total_bytes.fetch_add(n, Ordering::Relaxed) + n;
         self.bytes += n;
         let max_bytes = self.budget.max_bytes.load(Ordering::Relaxed);
--- a/crates/direct/src/server.rs
+++ b/crates/direct/src/server.rs
@@ -2,6 +2,8 @@
 //!
 //! "Load balancer" here is the one in front of the entries.
 
+mod caller_stream;
+
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -29,6 +31,9 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use self::caller_stream::CallerConnection;
+use self::caller_stream::CallerStream;
+use self::caller_stream::TrackedBody;
 use crate::connections;
 use crate::entry::Entry;
 use crate::handle::handle;
@@ -43,8 +48,8 @@
 /// Idle timeout of connections to the readiness and metrics pages.
 const PAGE_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Minimum read buffer size that the HTTP library accepts.
-const MIN_READ_BUFFER_BYTES: usize = 8 * 1024;
+/// Largest head that the HTTP library reads, whatever the tables allow.
+const MAX_HEAD_BYTES: usize = 1024 * 1024;
 
 /// Listen addresses of an entry and the time limit of a shutdown.
 #[derive(Debug, Clone, Copy)]
@@ -138,16 +143,19 @@
     if let Err(e) = connections::set_socket_options(&stream) {
         warn!(entry.cx().log, "socket options failed"; "error" => %e);
     }
-    let limits = entry.tables().map(|t| *t.limits()).unwrap_or_default();
+    let state = CallerConnection::new(&entry);
+    let stream = CallerStream::new(stream, &state);
     let service = service_fn(|req| {
-        let entry = Arc::clone(&entry);
-        async move { Ok::<_, Infallible>(handle(entry, req).await) }
+        state.end_head();
+        let (entry, state) = (Arc::clone(&entry), Arc::clone(&state));
+        async move {
+            let resp = handle(entry, req).await;
+            Ok::<_, Infallible>(resp.map(|body| TrackedBody::new(body, state)))
+        }
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout)
-        // The buffer limits the request head; a longer one is rejected with status 431.
-        .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER_BYTES))
+        .header_read_timeout(None)
+        .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     // The result is ignored, as each request records how it ended.
--- a/crates/eelgrassramp/src/error.rs
+++ b/crates/eelgrassramp/src/error.rs
@@ -126,6 +126,8 @@
     BadRequest "bad_request" 400 No 0, Caller;
     /// The request body is larger than its route allows.
     RequestTooLarge "request_too_large" 413 No 0, Caller;
+    /// The request head is larger than the tables allow.
+    HeadTooLarge "head_too_large" 431 No 0, Caller;
     /// The caller sent its request too slowly.
     RequestTimeout "request_timeout" 408 No 1, Caller;
     /// The request carries no API key that names a client account.
