direct: a broken answer without length is reset towards callers without chunks (MIXED)

A caller that speaks HTTP/1.0 got a part of an answer as a complete one, when the endpoint answered a long upload at once without a length and reset the connection meanwhile.

Cause: to such a caller a body without length ends with its connection, which was closed in the regular way. Ruled out for HTTP/1.1 callers: 120 of 120 answers that were broken off at random moments ended without their last chunk, also where the reset was seen by writing the upload.

Change: the connection of a response that was broken off is reset where its caller knows no other end. On others it is still closed regularly, so that events before the break arrive.

Failed before: a_caller_without_chunks_sees_that_an_answer_was_broken_off (30 of 30).

--- a/crates/direct/src/server.rs
+++ b/crates/direct/src/server.rs
@@ -145,12 +145,13 @@
     }
     let state = CallerConnection::new(&entry);
     let stream = CallerStream::new(stream, &state);
-    let service = service_fn(|req| {
+    let service = service_fn(|req: Request<Incoming>| {
         state.end_head();
+        let version = req.version();
         let (entry, state) = (Arc::clone(&entry), Arc::clone(&state));
         async move {
             let resp = handle(entry, req).await;
-            Ok::<_, Infallible>(resp.map(|body| TrackedBody::new(body, state)))
+            Ok::<_, Infallible>(TrackedBody::track(version, resp, state))
         }
     });
     let connection = http1::Builder::new()
--- a/crates/direct/src/server/caller_stream.rs
+++ b/crates/direct/src/server/caller_stream.rs
@@ -9,12 +9,17 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
 
 use eelgrassramp::Monotonic;
 use eelgrassramp::lock;
+use http::Version;
+use http::header::CONTENT_LENGTH;
+use hyper::Response;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
@@ -38,6 +43,8 @@
 pub(super) struct CallerConnection {
     entry: Arc<Entry>,
     awaited: Mutex<Option<AwaitedHead>>,
+    /// Whether a response was broken off of which the caller knows no other end than that of the connection.
+    must_reset: AtomicBool,
 }
 
 /// The head of the next request, while it is awaited or read.
@@ -54,6 +61,7 @@
         let connection = Self {
             entry: Arc::clone(entry),
             awaited: Mutex::default(),
+            must_reset: AtomicBool::new(false),
         };
         connection.await_head();
         Arc::new(connection)
@@ -185,15 +193,37 @@
     }
 }
 
+impl Drop for CallerStream {
+    fn drop(&mut self) {
+        if self.connection.must_reset.load(Ordering::Relaxed) {
+            // If this fails, the caller has closed the connection itself.
+            let _set = self.stream.set_zero_linger();
+        }
+    }
+}
+
 /// Body of a response, at whose end the connection waits for the next request.
 pub(super) struct TrackedBody {
     body: ResponseBody,
     connection: Arc<CallerConnection>,
+    /// Whether the caller takes the end of the connection for the end of the body.
+    ends_with_connection: bool,
 }
 
 impl TrackedBody {
-    pub(super) const fn new(body: ResponseBody, connection: Arc<CallerConnection>) -> Self {
-        Self { body, connection }
+    /// Tracks the body of a response to a request of this HTTP version.
+    pub(super) fn track(
+        version: Version,
+        resp: Response<ResponseBody>,
+        connection: Arc<CallerConnection>,
+    ) -> Response<Self> {
+        let has_length = resp.headers().contains_key(CONTENT_LENGTH);
+        let ends_with_connection = version < Version::HTTP_11 && !has_length;
+        resp.map(|body| Self {
+            body,
+            connection,
+            ends_with_connection,
+        })
     }
 }
 
@@ -205,7 +235,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if self.ends_with_connection && matches!(frame, Some(Err(_))) {
+            self.connection.must_reset.store(true, Ordering::Relaxed);
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
