--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -351,6 +351,9 @@
         in_flight: &mut InFlightAttempt,
     ) -> Result<(Response<Incoming>, ResponseHead, Connection), AttemptFailure> {
         let (parts, body) = resp.into_parts();
+        if !is_final_status(parts.status) {
+            return Err(AttemptFailure::invalid_status(endpoint, parts.status));
+        }
         let head = self
             .entry
             .endpoint_protocol()
@@ -469,6 +472,12 @@
     }
 }
 
+/// Returns whether a status is that of an answer to a request. The HTTP library also passes on a switch to
+/// another protocol, and numbers without meaning.
+fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 fn content_length(headers: &HeaderMap) -> Option<u64> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
--- a/crates/direct/src/forward/failure.rs
+++ b/crates/direct/src/forward/failure.rs
@@ -134,6 +134,12 @@
         }
     }
 
+    /// The response has a status that no answer to a request has. Counts like a connection that failed.
+    pub(super) fn invalid_status(endpoint: &Endpoint, status: StatusCode) -> Self {
+        let detail = format!("endpoint {} sent the status {status}", endpoint.name);
+        Self::no_answer(detail)
+    }
+
     /// The response belongs to another request, or did not come from an endpoint. Counts like a
     /// connection that failed.
     pub(super) fn mismatched_response(endpoint: &Endpoint) -> Self {
@@ -141,6 +147,10 @@
             "endpoint {} sent a response that does not match the request",
             endpoint.name
         );
+        Self::no_answer(detail)
+    }
+
+    fn no_answer(detail: String) -> Self {
         Self {
             error: Error::new(Kind::OutcomeUnknown, detail),
             outcome: DispatchEnd::Disconnected,
--- a/crates/eelgrassramp/src/engine/http.rs
+++ b/crates/eelgrassramp/src/engine/http.rs
@@ -43,6 +43,10 @@
 use crate::wire::Header;
 use crate::wire::MAX_MESSAGE_BYTES;
 
+/// Statuses of responses to a call. The HTTP library also passes on a switch to another protocol, and
+/// numbers without meaning.
+const FINAL_STATUSES: std::ops::Range<u16> = 200..600;
+
 const REQUEST_ID: &str = "x-request-id";
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -165,7 +169,12 @@
         let response = sender
             .send_request(req)
             .await
-            .map_err(|e| Error::with_source(Kind::EndpointFailed, what, e))?;
+            .map_err(|e| Error::with_source(Kind::EndpointFailed, what.as_str(), e))?;
+        let status = response.status();
+        if !FINAL_STATUSES.contains(&status.as_u16()) {
+            let detail = format!("{what}: status {status}");
+            return Err(Error::new(Kind::EndpointFailed, detail));
+        }
         Ok(PendingResponse {
             response,
             connection,
--- a/crates/eelgrassramp/tests/sidecar/http_engine.rs
+++ b/crates/eelgrassramp/tests/sidecar/http_engine.rs
@@ -135,3 +135,45 @@
 
     expect_that!(outcome.err().map(|e| e.kind()), some(eq(Kind::FencedOff)));
 }
+
+/// Guards against a status that means nothing to callers, or another thing than a response.
+#[googletest::test]
+#[tokio::test]
+async fn a_status_that_is_none_is_a_failure_of_the_endpoint() {
+    for odd in ["000", "099", "101", "600", "999"] {
+        let response = format!("HTTP/1.1 {odd} x\r\ncontent-length: 2\r\n\r\n{{}}");
+        let engine = engine_with_response(response).await;
+
+        let outcome = last_event(&engine).await;
+
+        expect_that!(kind_of(outcome), some(eq(Kind::EndpointFailed)), "{odd}");
+    }
+}
+
+/// Guards against a reset that is seen by writing the call alone, after which the end of the response is
+/// taken for a regular one.
+#[googletest::test]
+#[tokio::test]
+async fn a_response_that_is_reset_while_the_call_is_written_is_broken() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(async move {
+        let (mut tcp, _) = listener.accept().await.expect("accept");
+        tcp.set_zero_linger().expect("the socket is open");
+        let mut buf = [0; 4096];
+        let _read = tcp.read(&mut buf).await.expect("read");
+        let _sent = tcp.write_all(b"HTTP/1.1 200 OK\r\n\r\n{\"a\"").await;
+    });
+    let engine = HttpEngine::new(address, Timers::start());
+    let long = Call {
+        body: vec![b'x'; 8 * 1024 * 1024].into(),
+        ..call("/v1/completions")
+    };
+
+    let outcome = match engine.run(request(1), long).await {
+        Ok(stream) => stream.collect::<Vec<_>>().await.pop().expect("some event"),
+        Err(e) => Err(e),
+    };
+
+    expect_that!(outcome.is_err(), eq(true));
+}
