direct: the time to stop and the memory follow the settings file

Callers lost requests in a stop although the settings gave the process the time for them: a raised graceS was in force from the next start only. The memory, from which the space for requests follows, was read in the same way.

Not done: a changed address of the store, see docs/incidents.

--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -69,6 +69,9 @@
 /// Ticks between two clean-ups of idle connections and old records.
 const TICKS_PER_SWEEP: u64 = 20;
 
+/// Time to stop of a process whose settings name none.
+const DEFAULT_STOP_GRACE: Duration = Duration::from_secs(8);
+
 /// Identity of an entry process.
 #[derive(Debug, Clone)]
 pub struct EntryIdentity {
@@ -103,6 +106,7 @@
     caller_protocol: Arc<dyn CallerProtocol>,
     endpoint_protocol: Arc<dyn EndpointProtocol>,
     limits: ArcSwap<FleetLimits>,
+    stop_grace: ArcSwap<Duration>,
     reports: Arc<dyn ReportSink>,
     tables: ArcSwapOption<Tables>,
     tables_received: Notify,
@@ -135,6 +139,7 @@
             caller_protocol,
             endpoint_protocol,
             limits: ArcSwap::from_pointee(fleet_limits),
+            stop_grace: ArcSwap::from_pointee(DEFAULT_STOP_GRACE),
             reports,
             tables: ArcSwapOption::empty(),
             tables_received: Notify::new(),
@@ -189,12 +194,22 @@
         self.limits.store(Arc::new(limits));
     }
 
-    /// Sets the memory in bytes that the process may use, from which the space for the bodies of
-    /// requests follows.
-    pub fn set_memory(&self, bytes: usize) {
+    /// Sets the memory in bytes that the process may use, if it is known, from which the space for the
+    /// bodies of requests follows.
+    pub fn set_memory(&self, bytes: Option<usize>) {
         self.request_bodies.set_memory(bytes);
     }
 
+    /// Sets the time from the signal to stop until the process is killed.
+    pub fn set_stop_grace(&self, grace: Duration) {
+        self.stop_grace.store(Arc::new(grace));
+    }
+
+    /// Returns the time from the signal to stop until the process is killed.
+    pub(crate) fn stop_grace(&self) -> Duration {
+        **self.stop_grace.load()
+    }
+
     /// Returns the current tables.
     #[must_use]
     pub fn tables(&self) -> Option<Arc<Tables>> {
--- a/crates/direct/src/request_body.rs
+++ b/crates/direct/src/request_body.rs
@@ -67,9 +67,9 @@
 }
 
 impl RequestBodies {
-    /// Sets the memory that the process may use.
-    pub(crate) fn set_memory(&self, bytes: usize) {
-        let max_bytes = bytes / 100 * MEMORY_PERCENT;
+    /// Sets the memory that the process may use, if it is known.
+    pub(crate) fn set_memory(&self, bytes: Option<usize>) {
+        let max_bytes = bytes.map_or(DEFAULT_MAX_BYTES, |bytes| bytes / 100 * MEMORY_PERCENT);
         self.budget.max_bytes.store(max_bytes, Ordering::Relaxed);
     }
 
--- a/crates/direct/src/server.rs
+++ b/crates/direct/src/server.rs
@@ -51,7 +51,7 @@
 /// Largest head that the HTTP library reads, whatever the tables allow.
 const MAX_HEAD_BYTES: usize = 1024 * 1024;
 
-/// Listen addresses of an entry and the time limit of a shutdown.
+/// Listen addresses of an entry.
 #[derive(Debug, Clone, Copy)]
 pub struct ListenConfig {
     /// Address for callers' requests.
@@ -60,8 +60,6 @@
     pub readiness: SocketAddr,
     /// Address of the metrics page.
     pub metrics: Option<SocketAddr>,
-    /// Time from the signal to shut down until the process is killed.
-    pub stop_grace: Duration,
 }
 
 /// Serves until the process is asked to shut down and all requests in progress have ended.
@@ -104,7 +102,7 @@
     drain.cancel();
     entry.stop_taking_requests();
     connection_tasks.close();
-    let limit = listen.stop_grace.mul_f64(SHUTDOWN_TIMEOUT_FRACTION);
+    let limit = entry.stop_grace().mul_f64(SHUTDOWN_TIMEOUT_FRACTION);
     let time_left = limit.saturating_sub(timers.now().since(shutdown_started_at));
     let ended = timers.limit(time_left, connection_tasks.wait()).await;
     info!(entry.cx().log, "stop ends"; "all_ended" => ended.is_some(),
