direct: a roll-back that the store tells is not taken for an order without a judgement

An entry that had not judged a version itself, and read the next order with the report on its roll-back, kept the version as not judged: it would have served with it once no other endpoint was in service. Found by reading.

Failed before: a_version_that_only_others_have_judged_serves_not_even_alone (by reading; not run on the code before).

--- a/crates/direct/src/dispatcher/withdrawn.rs
+++ b/crates/direct/src/dispatcher/withdrawn.rs
@@ -61,8 +61,16 @@
     }
 
     fn withdraw(&mut self, now: Monotonic, version: &VersionName, cause: Cause) {
-        let seen_at = now;
-        let withdrawal = Withdrawal { cause, seen_at };
+        let known = self.versions.get(version).map(|known| known.cause);
+        let is_rolled_back = known == Some(Cause::RolledBack);
+        let withdrawal = Withdrawal {
+            cause: if is_rolled_back {
+                Cause::RolledBack
+            } else {
+                cause
+            },
+            seen_at: now,
+        };
         self.versions.insert(version.clone(), withdrawal);
     }
 
--- a/crates/direct/tests/dispatcher/withdrawn.rs
+++ b/crates/direct/tests/dispatcher/withdrawn.rs
@@ -162,6 +162,21 @@
     expect_that!(versions_in_use(&mut dispatcher, 200), is_empty());
 }
 
+/// Another entry has judged it; the report stands in the object when this entry reads the next order.
+#[gtest]
+fn a_version_that_only_others_have_judged_serves_not_even_alone() {
+    let mut dispatcher = dispatcher(&["v2"]);
+    set_order(&mut dispatcher, 0, rollout_order("v2"));
+    let order = RolloutOrder {
+        rolled_back_before: Some(VersionName::from("v2")),
+        ..next_order("v3")
+    };
+
+    set_order(&mut dispatcher, 100, order);
+
+    expect_that!(versions_in_use(&mut dispatcher, 200), is_empty());
+}
+
 #[gtest]
 fn a_version_that_was_not_judged_gives_way_to_the_one_before() {
     let mut dispatcher = dispatcher(&["v1", "v2", "v3"]);
