--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -347,7 +347,7 @@
     }
 
     /// Returns the limits on what callers send that are in force now.
-    pub(crate) fn limits_of_callers(&self) -> Limits {
+    pub(crate) fn caller_limits(&self) -> Limits {
         self.tables().map(|t| *t.limits()).unwrap_or_default()
     }
 
--- a/crates/direct/src/server/caller_stream.rs
+++ b/crates/direct/src/server/caller_stream.rs
@@ -97,7 +97,7 @@
     /// Returns when the connection is closed, unless a request is in progress.
     fn closes_at(&self) -> Option<Monotonic> {
         let since = self.lock().as_ref()?.since;
-        Some(since + self.entry.limits_of_callers().idle_timeout)
+        Some(since + self.entry.caller_limits().idle_timeout)
     }
 
     fn lock(&self) -> MutexGuard<'_, Option<AwaitedHead>> {
