entry: the text of a prompt is read without decoding its values

A caller of the deployment with sidecars could end an entry by its memory: a body of 4 MiB, within the limit of a message, took 359 MB, since prompt and messages were decoded without a schema.

Change: the text is read from strings, parts and lists as they come; everything else is skipped.

Failed before: a_prompt_of_many_small_values_costs_little_memory (359 MB, 64 allowed). A comment in server.rs says where the time of a head is limited.

--- a/crates/direct/src/server.rs
+++ b/crates/direct/src/server.rs
@@ -153,6 +153,7 @@
         }
     });
     let connection = http1::Builder::new()
+        // The stream limits the time, by the tables that are in force.
         .header_read_timeout(None)
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
--- a/crates/eelgrassramp/src/entry.rs
+++ b/crates/eelgrassramp/src/entry.rs
@@ -12,6 +12,7 @@
 mod keys_in_progress;
 mod poll;
 mod pool_queues;
+mod prompt_text;
 mod request_task;
 mod response;
 mod serve;
--- a/crates/eelgrassramp/src/entry/classify.rs
+++ b/crates/eelgrassramp/src/entry/classify.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use serde::Deserialize;
-use serde_json::Value;
 
+use super::prompt_text::PromptText;
 use crate::error::Error;
 use crate::error::Kind;
 use crate::error::Result;
@@ -116,7 +116,7 @@
     max_tokens: Option<u32>,
     max_completion_tokens: Option<u32>,
     #[serde(default)]
-    prompt: Value,
+    prompt: PromptText,
     #[serde(default)]
     messages: Vec<Message>,
 }
@@ -125,7 +125,7 @@
 #[derive(Deserialize)]
 struct Message {
     #[serde(default)]
-    content: Value,
+    content: PromptText,
 }
 
 /// Finds the route of a request and the attributes used for admission, queueing and routing.
@@ -238,25 +238,9 @@
 impl InferenceBody {
     /// Returns the prompt as one text, in the order in which an engine processes it.
     fn prompt_text(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        for message in &self.messages {
-            append_text(&message.content, &mut text);
-        }
-        append_text(&self.prompt, &mut text);
-        text
-    }
-}
-
-fn append_text(value: &Value, text: &mut Vec<u8>) {
-    match value {
-        Value::String(s) => text.extend_from_slice(s.as_bytes()),
-        Value::Array(parts) => parts.iter().for_each(|part| append_text(part, text)),
-        Value::Object(part) => {
-            if let Some(inner) = part.get("text") {
-                append_text(inner, text);
-            }
-        }
-        Value::Null | Value::Bool(_) | Value::Number(_) => {}
+        let contents = self.messages.iter().map(|message| &message.content);
+        let texts = contents.chain([&self.prompt]);
+        texts.flat_map(|text| text.0.iter().copied()).collect()
     }
 }
 
--- a/crates/eelgrassramp/tests/entry/hostile.rs
+++ b/crates/eelgrassramp/tests/entry/hostile.rs
@@ -5,6 +5,14 @@
 use proptest::prelude::*;
 
 use crate::fixture::Fixture;
+use crate::fixture::request;
+use crate::fixture::tables_with_model;
+
+/// Size of a large body.
+const LARGE_BODY_BYTES: usize = 4 * 1024 * 1024 - 64 * 1024;
+
+/// Memory that a large body may cost the process, a few times its size.
+const LARGE_BODY_MEMORY_BYTES: u64 = 64 * 1024 * 1024;
 
 fn any_header() -> impl Strategy<Value = Header> {
     let names = prop_oneof![
@@ -65,3 +73,34 @@
         prop_assert!(response.is_complete_response() || response.kind().is_some(), "{response:?}");
     }
 }
+
+/// Returns the peak resident memory of this process.
+fn peak_bytes() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").expect("the process runs");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let kib = line.and_then(|line| line.trim().strip_suffix(" kB"));
+    let kib: u64 = kib
+        .and_then(|kib| kib.trim().parse().ok())
+        .expect("the line holds a number");
+    kib * 1_024
+}
+
+/// Guards against a prompt whose decoded values exhaust the memory of the process.
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn a_prompt_of_many_small_values_costs_little_memory() {
+    const VALUE: &str = r#"{"v":0}"#;
+    let values = vec![VALUE; LARGE_BODY_BYTES / (VALUE.len() + 1) - 4].join(",");
+    let body = format!(r#"{{"model":"greeting","prompt":[{values}]}}"#);
+    let fixture = Fixture::with_tables(tables_with_model(&[1])).await;
+    let req = CallerRequest {
+        body: body.into(),
+        ..request("texts")
+    };
+    let before = peak_bytes();
+
+    let _response = fixture.call(req).await;
+
+    let used = peak_bytes().saturating_sub(before);
+    googletest::expect_that!(used, googletest::prelude::lt(LARGE_BODY_MEMORY_BYTES));
+}
