--- a/crates/direct/src/dispatcher.rs
+++ b/crates/direct/src/dispatcher.rs
@@ -221,11 +221,8 @@
     pub fn ready_endpoints(&self, now: Monotonic, pool: &PoolName) -> usize {
         let pool = self.pools.get(pool);
         pool.map_or(0, |p| {
-            let barred = p.barred_versions();
-            p.trackers
-                .values()
+            p.serving_trackers()
                 .filter(|tracker| tracker.accepts_requests(now))
-                .filter(|tracker| !barred.contains(&&tracker.endpoint().version))
                 .count()
         })
     }
--- a/crates/direct/src/dispatcher/pool.rs
+++ b/crates/direct/src/dispatcher/pool.rs
@@ -98,13 +98,8 @@
     /// Returns when the first endpoint accepts requests again, if all endpoints in service asked for
     /// a backoff.
     pub(super) fn all_backed_off_until(&self, now: Monotonic) -> Option<Monotonic> {
-        let barred = self.barred_versions();
-        let in_service = self
-            .trackers
-            .values()
-            .filter(|tracker| tracker.is_in_service())
-            .filter(|tracker| !barred.contains(&&tracker.endpoint().version));
-        let until = in_service.map(EndpointTracker::backoff_until).min();
+        let serving = self.serving_trackers();
+        let until = serving.map(EndpointTracker::backoff_until).min();
         until.filter(|until| *until > now)
     }
 
@@ -386,18 +381,15 @@
     ) -> Option<Grant> {
         let mean_failure_rate = self.pool_failure_rate();
         let extra = extra_slots(request);
-        let barred = self.barred_versions();
-        let ready = || {
-            self.trackers
-                .values()
-                .filter(|tracker| tracker.accepts_requests(now))
-                .filter(|tracker| !barred.contains(&&tracker.endpoint().version))
-        };
+        let serving = self.serving_trackers();
+        let ready: Vec<_> = serving
+            .filter(|tracker| tracker.accepts_requests(now))
+            .collect();
         let should_avoid = |tracker: &EndpointTracker| {
             tracker.is_avoided(now, mean_failure_rate) || tracker.is_stalled(now, STALL_TIMEOUT)
         };
-        let total = ready().count() as f64;
-        let may_avoid = ready().filter(|tracker| should_avoid(tracker)).count() as f64
+        let total = ready.len() as f64;
+        let may_avoid = ready.iter().filter(|tracker| should_avoid(tracker)).count() as f64
             <= MAX_AVOIDED_SHARE * total;
         let group = self.choose_version(now, request, context, rate_limits);
         let is_chosen_version = |tracker: &EndpointTracker| {
@@ -405,7 +397,8 @@
             rollout.is_none_or(|r| r.group_of(&tracker.endpoint().version) == group)
         };
         let needs_shown_room = request.share.is_some() && context.is_isolated();
-        let usable = ready()
+        let usable = ready
+            .into_iter()
             .filter(|tracker| is_chosen_version(tracker))
             .filter(|tracker| !needs_shown_room || tracker.has_shown_room())
             .filter(|tracker| !request.attempted.contains(&tracker.endpoint().name))
--- a/crates/direct/src/dispatcher/withdrawn.rs
+++ b/crates/direct/src/dispatcher/withdrawn.rs
@@ -61,17 +61,15 @@
     }
 
     fn withdraw(&mut self, now: Monotonic, version: &VersionName, cause: Cause) {
-        let known = self.versions.get(version).map(|known| known.cause);
-        let is_rolled_back = known == Some(Cause::RolledBack);
         let withdrawal = Withdrawal {
-            cause: if is_rolled_back {
-                Cause::RolledBack
-            } else {
-                cause
-            },
+            cause,
             seen_at: now,
         };
-        self.versions.insert(version.clone(), withdrawal);
+        let known = self.versions.entry(version.clone()).or_insert(withdrawal);
+        known.seen_at = now;
+        if cause == Cause::RolledBack {
+            known.cause = cause;
+        }
     }
 
     /// Takes a version into use again, because it is ordered again.
@@ -122,7 +120,7 @@
     /// Returns the versions that get no requests.
     ///
     /// A version that was not judged gives way only to one that is neither withdrawn nor being judged.
-    pub(super) fn barred_versions(&self) -> Vec<&VersionName> {
+    fn barred_versions(&self) -> Vec<&VersionName> {
         let in_service = self
             .trackers
             .values()
@@ -132,6 +130,15 @@
         self.withdrawn
             .barred(in_service.filter(|version| Some(*version) != new))
     }
+
+    /// Returns the endpoints in service whose version gets requests.
+    pub(super) fn serving_trackers(&self) -> impl Iterator<Item = &EndpointTracker> {
+        let barred = self.barred_versions();
+        self.trackers
+            .values()
+            .filter(|tracker| tracker.is_in_service())
+            .filter(move |tracker| !barred.contains(&&tracker.endpoint().version))
+    }
 }
 
 impl Dispatcher {
--- a/crates/eelgrassramp/src/entry/classify.rs
+++ b/crates/eelgrassramp/src/entry/classify.rs
@@ -240,7 +240,8 @@
     fn prompt_text(&self) -> Vec<u8> {
         let contents = self.messages.iter().map(|message| &message.content);
         let texts = contents.chain([&self.prompt]);
-        texts.flat_map(|text| text.0.iter().copied()).collect()
+        let texts: Vec<&[u8]> = texts.map(|text| &*text.0).collect();
+        texts.concat()
     }
 }
 
