direct: connections are accepted with a small receive buffer

Callers saw: with many clients that send faster than the process reads, in very small chunks above all, or that send heads without end, the process is over the memory of its VM and ended.

Cause: what was received and not read counts against a process, and the operating system lets it grow to between a hundred kilobytes and megabytes for each connection. Listeners left that as it was.

Ruled out: buffers of the process.

Change: all listeners are opened in one place (listener.rs), with a receive buffer of 16 KiB that accepted connections inherit, and 256 connections that wait to be accepted in place of 1,024. Why it works: unread bytes have a bound for each connection that does not depend on how fast the process reads.

--- a/crates/direct/src/exchange/server.rs
+++ b/crates/direct/src/exchange/server.rs
@@ -7,8 +7,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use eelgrassramp::Error;
-use eelgrassramp::Kind;
 use eelgrassramp::Result;
 use eelgrassramp::lock;
 use http::StatusCode;
@@ -24,7 +22,6 @@
 use hyper_util::rt::TokioTimer;
 use slog::debug;
 use slog::warn;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
 use super::Exchange;
@@ -40,6 +37,7 @@
 use super::message::encode;
 use super::sent_state::SentState;
 use crate::connections;
+use crate::listener::listen;
 
 /// Time for which a connection without a request, or with an incomplete head, is kept open.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -52,11 +50,9 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Kind::InvalidSettings`] when `addr` cannot be listened on.
+    /// Returns [`Kind::InvalidSettings`](eelgrassramp::Kind::InvalidSettings) when `addr` cannot be listened on.
     pub async fn serve(self: Arc<Self>, addr: SocketAddr) -> Result<()> {
-        let listener = TcpListener::bind(addr).await.map_err(|e| {
-            Error::with_source(Kind::InvalidSettings, format!("cannot listen on {addr}"), e)
-        })?;
+        let listener = listen(addr)?;
         loop {
             let stream = match listener.accept().await {
                 Ok((stream, _)) => stream,
@@ -122,7 +118,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Kind::Malformed`] when it cannot be read.
+    /// Returns [`Kind::Malformed`](eelgrassramp::Kind::Malformed) when it cannot be read.
     pub fn receive_usage(&self, body: &[u8]) -> Result<()> {
         self.apply_usage(UsageMessage::decode(body)?);
         Ok(())
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -23,6 +23,7 @@
 mod forward;
 mod handle;
 pub mod lateness;
+mod listener;
 mod metrics;
 pub mod prior_wait;
 pub mod protocol;
--- a/crates/direct/src/server.rs
+++ b/crates/direct/src/server.rs
@@ -10,8 +10,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use eelgrassramp::Error;
-use eelgrassramp::Kind;
 use eelgrassramp::Result;
 use eelgrassramp::restart_on_panic;
 use http::StatusCode;
@@ -37,6 +35,7 @@
 use crate::connections;
 use crate::entry::Entry;
 use crate::handle::handle;
+use crate::listener::listen;
 
 /// Time that the load balancer in front of the entries needs to stop opening new connections after a
 /// shutdown started.
@@ -70,12 +69,13 @@
 ///
 /// # Errors
 ///
-/// Returns [`Kind::InvalidSettings`] when an address cannot be listened on.
-pub async fn serve(entry: Arc<Entry>, listen: ListenConfig) -> Result<()> {
-    let callers = bind(listen.callers).await?;
-    let readiness = bind(listen.readiness).await?;
-    if let Some(addr) = listen.metrics {
-        let listener = bind(addr).await?;
+/// Returns [`Kind::InvalidSettings`](eelgrassramp::Kind::InvalidSettings) when an address cannot be listened
+/// on.
+pub async fn serve(entry: Arc<Entry>, addrs: ListenConfig) -> Result<()> {
+    let callers = listen(addrs.callers)?;
+    let readiness = listen(addrs.readiness)?;
+    if let Some(addr) = addrs.metrics {
+        let listener = listen(addr)?;
         tokio::spawn(serve_pages(Arc::clone(&entry), listener, metrics_page));
     }
     tokio::spawn(serve_pages(Arc::clone(&entry), readiness, readiness_page));
@@ -110,12 +110,6 @@
     Ok(())
 }
 
-async fn bind(addr: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(addr).await.map_err(|e| {
-        Error::with_source(Kind::InvalidSettings, format!("cannot listen on {addr}"), e)
-    })
-}
-
 async fn accept(
     entry: Arc<Entry>,
     listener: TcpListener,
