direct: callers' connections have a maximum; the one that waits longest makes room

Callers saw: with some hundreds of clients that connect and send a little, the process uses up its descriptors: it can then open no connection to endpoints or the store. Each connection also costs tens of kilobytes, which nothing counted; with many that stop short of the end of a small body the VM's memory is exceeded.

Cause: the listener accepted without end. The settings state limits.maxFds, which was not read.

Ruled out: time limits. Connections without a request end after idleTimeoutMs and bodies after headerTimeoutMs, as they should; a crowd needs less time than that.

Change: a table of the open connections (connection_table.rs, decisions without I/O and with tests of their own). At the maximum, the connection that has waited longest for its client is closed, for a head or for the rest of a body; if all are used by requests, the new one is. The maximum is 70 % of the process's sockets, or less if the memory is small. Why it works: clients that send their requests do not wait long, so those that only hold connections go first, and endpoints, store and other entries keep sockets.

With 260 MB and 4,100 descriptors the maximum is 1,269 connections for one entry; gauges and a log line show when it is met.

--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -39,6 +39,7 @@
 use self::remote_load::PeerLoads;
 use self::state::State;
 pub use self::usage::SharedState;
+use crate::connection_table::ConnectionTable;
 use crate::connections::ConnectionPool;
 use crate::crash_attribution::CrashAttribution;
 use crate::dispatcher::Dispatcher;
@@ -46,6 +47,7 @@
 use crate::metrics::Gauge;
 use crate::metrics::Metrics;
 use crate::prior_wait::PriorWaitEstimator;
+use crate::process_limits::ProcessLimits;
 use crate::protocol::CallerProtocol;
 use crate::protocol::EndpointProtocol;
 use crate::quota::Quotas;
@@ -113,6 +115,7 @@
     endpoints: ArcSwap<Vec<Arc<Endpoint>>>,
     connections: Arc<ConnectionPool>,
     request_bodies: RequestBodies,
+    callers: Arc<ConnectionTable>,
     metrics: Arc<Metrics>,
     log_limiter: LogRateLimiter,
     suspension_detector: SuspensionDetector,
@@ -146,6 +149,7 @@
             endpoints: ArcSwap::default(),
             connections: ConnectionPool::new(cx),
             request_bodies: RequestBodies::default(),
+            callers: ConnectionTable::new(ProcessLimits::default().caller_connections()),
             metrics,
             log_limiter: LogRateLimiter::default(),
             suspension_detector: SuspensionDetector::default(),
@@ -194,10 +198,16 @@
         self.limits.store(Arc::new(limits));
     }
 
-    /// Sets the memory in bytes that the process may use, if it is known, from which the space for the
-    /// bodies of requests follows.
-    pub fn set_memory(&self, bytes: Option<usize>) {
-        self.request_bodies.set_memory(bytes);
+    /// Sets what the process may use, from which the space for the bodies of requests and the maximum number
+    /// of connections follow.
+    pub fn set_process_limits(&self, limits: ProcessLimits) {
+        self.request_bodies.set_memory(limits.memory_bytes);
+        self.callers.set_max(limits.caller_connections());
+    }
+
+    /// Returns the connections of callers.
+    pub(crate) const fn callers(&self) -> &Arc<ConnectionTable> {
+        &self.callers
     }
 
     /// Sets the time from the signal to stop until the process is killed.
@@ -337,6 +347,8 @@
             Gauge::new("endpoints", self.endpoints.load().len() as f64),
             Gauge::new("body_bytes", self.request_bodies.total_bytes() as f64),
             Gauge::new("body_bytes_max", self.request_bodies.max_bytes() as f64),
+            Gauge::new("caller_connections", self.callers.count() as f64),
+            Gauge::new("caller_connections_max", self.callers.max() as f64),
         ];
         gauges.extend(self.lock().gauges(now));
         gauges
--- a/crates/direct/src/handle.rs
+++ b/crates/direct/src/handle.rs
@@ -61,8 +61,12 @@
 /// left for its second attempt.
 const RETURN_SLACK_FRACTION: f64 = 0.5;
 
-/// Handles one request.
-pub(crate) async fn handle(entry: Arc<Entry>, req: Request<Incoming>) -> Response<ResponseBody> {
+/// Handles one request; `on_received` is called when all of it was received.
+pub(crate) async fn handle(
+    entry: Arc<Entry>,
+    req: Request<Incoming>,
+    on_received: impl FnOnce() + Send,
+) -> Response<ResponseBody> {
     entry.check_for_suspension();
     let arrived = entry.cx().timers.now();
     let (parts, body) = req.into_parts();
@@ -77,7 +81,7 @@
         suspect_parts: Arc::default(),
         arrived,
     };
-    let mut resp = match process(&entry, &mut request_log, parts, body).await {
+    let mut resp = match process(&entry, &mut request_log, parts, body, on_received).await {
         Ok(resp) => resp,
         Err(refusal) => {
             let queued = entry.queued_count();
@@ -100,6 +104,7 @@
     request_log: &mut RequestLogContext,
     parts: Parts,
     body: Incoming,
+    on_received: impl FnOnce() + Send,
 ) -> Result<Response<ResponseBody>, Refusal> {
     check_framing(&parts)?;
     let request_head = entry.caller_protocol().decode(&parts)?;
@@ -122,6 +127,7 @@
     let account_priority = account.as_ref().and_then(|a| a.priority);
     request_log.rank = Some(account_priority.unwrap_or(route.priority));
     let body = read_body(entry, &current_tables, body).await?;
+    on_received();
     if !entry.takes_requests() {
         let detail = "the process stops, and the request came too late to be completed";
         return Err(Refusal::with_retry_after(
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -6,10 +6,11 @@
 //! also pass on tables, endpoints and evacuated failure domains to each other ([`exchange`]).
 //!
 //! Decisions are state machines without I/O ([`dispatcher`], [`request_queue`],
-//! [`endpoint_tracker`], [`quota`], [`retry`], [`crash_attribution`]); the other modules drive them. The platform's protocols
+//! [`endpoint_tracker`], [`connection_table`], [`quota`], [`retry`], [`crash_attribution`]); the other modules drive them. The platform's protocols
 //! for callers and endpoints are decoded behind [`protocol`]. Start with `docs/design/platform.md`.
 
 mod attempt;
+pub mod connection_table;
 pub mod connections;
 pub mod crash_attribution;
 pub mod decaying_sum;
@@ -26,6 +27,7 @@
 mod listener;
 mod metrics;
 pub mod prior_wait;
+mod process_limits;
 pub mod protocol;
 pub mod quota;
 mod refusal;
@@ -48,5 +50,6 @@
 pub use self::entry::SharedState;
 pub use self::metrics::Gauge;
 pub use self::metrics::Metrics;
+pub use self::process_limits::ProcessLimits;
 pub use self::server::ListenConfig;
 pub use self::server::serve;
--- a/crates/direct/src/request_log.rs
+++ b/crates/direct/src/request_log.rs
@@ -49,15 +49,18 @@
     Refused,
     /// An endpoint signalled something, or sent data that belongs to no request.
     Endpoint,
+    /// A listener has as many connections as it may have.
+    Connections,
 }
 
 impl LogLineKind {
-    const ALL: [Self; 5] = [
+    const ALL: [Self; 6] = [
         Self::Dispatched,
         Self::Ended,
         Self::Failed,
         Self::Refused,
         Self::Endpoint,
+        Self::Connections,
     ];
 
     const fn as_str(self) -> &'static str {
@@ -67,6 +70,7 @@
             Self::Failed => "failed",
             Self::Refused => "refused",
             Self::Endpoint => "endpoint",
+            Self::Connections => "connections",
         }
     }
 
@@ -74,6 +78,7 @@
         match self {
             Self::Dispatched | Self::Ended => SUCCESS_LINES_PER_SECOND,
             Self::Failed | Self::Refused | Self::Endpoint => FAILURE_LINES_PER_SECOND,
+            Self::Connections => 1.0,
         }
     }
 }
--- a/crates/direct/src/server.rs
+++ b/crates/direct/src/server.rs
@@ -32,10 +32,12 @@
 use self::caller_stream::CallerConnection;
 use self::caller_stream::CallerStream;
 use self::caller_stream::TrackedBody;
+use crate::connection_table::OpenConnection;
 use crate::connections;
 use crate::entry::Entry;
 use crate::handle::handle;
 use crate::listener::listen;
+use crate::request_log::LogLineKind;
 
 /// Time that the load balancer in front of the entries needs to stop opening new connections after a
 /// shutdown started.
@@ -119,8 +121,16 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let connection_task = serve_connection(Arc::clone(&entry), stream, drain.clone());
+                let Some(open) = open_connection(&entry) else {
+                    // The caller can use another entry.
+                    drop(stream);
+                    continue;
+                };
+                let connection_task =
+                    serve_connection(Arc::clone(&entry), stream, open, drain.clone());
                 connection_tasks.spawn(connection_task);
+                // A connection that has to close does so before the next one is accepted.
+                tokio::task::yield_now().await;
             }
             Err(e) => {
                 // Usually out of file descriptors, which are freed as requests end.
@@ -131,18 +141,36 @@
     }
 }
 
-async fn serve_connection(entry: Arc<Entry>, stream: TcpStream, drain: CancellationToken) {
+/// Adds a connection of a caller, in place of one that waits if there are too many; `None` if requests use
+/// all of them.
+fn open_connection(entry: &Entry) -> Option<OpenConnection> {
+    let (now, callers) = (entry.cx().timers.now(), entry.callers());
+    let (count, max) = (callers.count(), callers.max());
+    let open = callers.open(now);
+    if count >= max && entry.log_limiter().allows(now, LogLineKind::Connections) {
+        warn!(entry.cx().log, "too many connections, one is closed";
+            "max" => max, "was_waiting" => open.is_some());
+    }
+    open
+}
+
+async fn serve_connection(
+    entry: Arc<Entry>,
+    stream: TcpStream,
+    open: OpenConnection,
+    drain: CancellationToken,
+) {
     if let Err(e) = connections::set_socket_options(&stream) {
         warn!(entry.cx().log, "socket options failed"; "error" => %e);
     }
-    let state = CallerConnection::new(&entry);
+    let state = CallerConnection::new(&entry, open);
     let stream = CallerStream::new(stream, &state);
     let service = service_fn(|req: Request<Incoming>| {
         state.end_head();
         let version = req.version();
         let (entry, state) = (Arc::clone(&entry), Arc::clone(&state));
         async move {
-            let resp = handle(entry, req).await;
+            let resp = handle(entry, req, || state.end_request()).await;
             Ok::<_, Infallible>(TrackedBody::track(version, resp, state))
         }
     });
@@ -155,9 +183,13 @@
     // The result is ignored, as each request records how it ended.
     tokio::select! {
         _ended = connection.as_mut() => return,
+        () = state.closed() => return,
         () = drain.cancelled() => connection.as_mut().graceful_shutdown(),
     }
-    let _ended = connection.await;
+    tokio::select! {
+        _ended = connection => {}
+        () = state.closed() => {}
+    }
 }
 
 type PageHandler = fn(&Entry, &Request<Incoming>) -> Response<Full<Bytes>>;
--- a/crates/direct/src/server/caller_stream.rs
+++ b/crates/direct/src/server/caller_stream.rs
@@ -28,6 +28,7 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use crate::connection_table::OpenConnection;
 use crate::entry::Entry;
 use crate::handle::ResponseBody;
 use crate::request_body::Reservation;
@@ -42,6 +43,7 @@
 #[derive(Debug)]
 pub(super) struct CallerConnection {
     entry: Arc<Entry>,
+    open: OpenConnection,
     awaited: Mutex<Option<AwaitedHead>>,
     /// Whether a response was broken off of which the caller knows no other end than that of the connection.
     must_reset: AtomicBool,
@@ -57,9 +59,10 @@
 
 impl CallerConnection {
     /// Creates the state of a connection that waits for its first request.
-    pub(super) fn new(entry: &Arc<Entry>) -> Arc<Self> {
+    pub(super) fn new(entry: &Arc<Entry>, open: OpenConnection) -> Arc<Self> {
         let connection = Self {
             entry: Arc::clone(entry),
+            open,
             awaited: Mutex::default(),
             must_reset: AtomicBool::new(false),
         };
@@ -68,17 +71,31 @@
     }
 
     fn await_head(&self) {
+        let now = self.entry.cx().timers.now();
+        self.open.set_waits_since(Some(now));
         let awaited = AwaitedHead {
-            since: self.entry.cx().timers.now(),
+            since: now,
             bytes: 0,
             reservation: self.entry.request_bodies().reserve_nothing(),
         };
         *self.lock() = Some(awaited);
     }
 
-    /// Records that the head of a request was read.
+    /// Records that the head of a request was read, and its body is awaited.
     pub(super) fn end_head(&self) {
         *self.lock() = None;
+        self.open
+            .set_waits_since(Some(self.entry.cx().timers.now()));
+    }
+
+    /// Records that all of a request was received, so that the caller waits for the response.
+    pub(super) fn end_request(&self) {
+        self.open.set_waits_since(None);
+    }
+
+    /// Completes when the connection has to be closed in favour of another one.
+    pub(super) async fn closed(&self) {
+        self.open.closed().await;
     }
 
     /// Counts bytes that were read.
