direct: the readiness and metrics pages read small heads, on few connections

Callers saw: clients that send endless heads to the readiness or the metrics page end the process by its memory.

The page's time limit of 15 s is longer than the crowd needs.

Change: at most 16 connections to each page, where the one that has waited longest makes room, heads of at most 8 KiB, and the socket options of all other connections, which end one whose client reads nothing. Why it works: what a page costs has a bound, and a load balancer that checks is never the one that has waited longest for long.

--- a/crates/direct/src/server.rs
+++ b/crates/direct/src/server.rs
@@ -32,6 +32,7 @@
 use self::caller_stream::CallerConnection;
 use self::caller_stream::CallerStream;
 use self::caller_stream::TrackedBody;
+use crate::connection_table::ConnectionTable;
 use crate::connection_table::OpenConnection;
 use crate::connections;
 use crate::entry::Entry;
@@ -49,6 +50,12 @@
 /// Idle timeout of connections to the readiness and metrics pages.
 const PAGE_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Maximum number of connections to each of these pages.
+const MAX_PAGE_CONNECTIONS: usize = 16;
+
+/// Maximum size of the head of a request for one of these pages.
+const MAX_PAGE_HEAD_BYTES: usize = 8 * 1024;
+
 /// Largest head that the HTTP library reads, whatever the tables allow.
 const MAX_HEAD_BYTES: usize = 1024 * 1024;
 
@@ -195,24 +202,38 @@
 type PageHandler = fn(&Entry, &Request<Incoming>) -> Response<Full<Bytes>>;
 
 async fn serve_pages(entry: Arc<Entry>, listener: TcpListener, page: PageHandler) {
+    let connections = ConnectionTable::new(MAX_PAGE_CONNECTIONS);
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             entry.cx().timers.after(Duration::from_millis(20)).await;
             continue;
         };
-        let entry = Arc::clone(&entry);
-        tokio::spawn(async move {
-            let service = service_fn(|req| {
-                let resp = page(&entry, &req);
-                async move { Ok::<_, Infallible>(resp) }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(PAGE_IDLE_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), service);
-            // Errors are ignored: the load balancer repeats a failed check.
-            let _ended = connection.await;
-        });
+        if let Some(open) = connections.open(entry.cx().timers.now()) {
+            tokio::spawn(serve_page(Arc::clone(&entry), stream, open, page));
+            // A connection that has to close does so before the next one is accepted.
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
+async fn serve_page(entry: Arc<Entry>, stream: TcpStream, open: OpenConnection, page: PageHandler) {
+    if let Err(e) = connections::set_socket_options(&stream) {
+        warn!(entry.cx().log, "socket options failed"; "error" => %e);
+    }
+    let service = service_fn(|req| {
+        open.set_waits_since(Some(entry.cx().timers.now()));
+        let resp = page(&entry, &req);
+        async move { Ok::<_, Infallible>(resp) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(PAGE_IDLE_TIMEOUT)
+        .max_buf_size(MAX_PAGE_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        // Errors are ignored: the load balancer repeats a failed check.
+        _ended = connection => {}
+        () = open.closed() => {}
     }
 }
 
