direct: messages to the state exchange have a bound together

Callers saw: whoever reaches the port of the state exchange ends the process by its memory with some hundred messages that stop short of their end; with them go the requests of all callers.

Cause: each connection might collect a message of up to 8 MiB, however many there were, as a list of chunks that take far more than their bytes when they are small, with read buffers of up to 408 KiB, on any number of connections.

Ruled out: time. Messages end after 2 s, and peak memory is reached before.

Change: messages are received like bodies of callers, by blocks, within a budget of their own of 10 % of the memory, on at most 10 % of the sockets. The budget is its own so that callers cannot keep entries from hearing of each other. The division of memory and sockets stands in one place (process_limits.rs). Why it works: the same bounds as for bodies hold, and a peer that was refused sends again at its next interval.

The default where the settings name no memory: 160 MiB in place of a bound of 48 MiB for bodies; bodies keep 48.

--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -116,6 +116,8 @@
     connections: Arc<ConnectionPool>,
     request_bodies: RequestBodies,
     callers: Arc<ConnectionTable>,
+    peer_messages: RequestBodies,
+    peers: Arc<ConnectionTable>,
     metrics: Arc<Metrics>,
     log_limiter: LogRateLimiter,
     suspension_detector: SuspensionDetector,
@@ -136,6 +138,7 @@
         metrics: Arc<Metrics>,
         reports: Arc<dyn ReportSink>,
     ) -> Arc<Self> {
+        let process_limits = ProcessLimits::default();
         let dispatcher = Dispatcher::new(identity.name.as_str(), identity.domain.as_str());
         Arc::new(Self {
             cx: cx.clone(),
@@ -148,8 +151,10 @@
             tables_received: Notify::new(),
             endpoints: ArcSwap::default(),
             connections: ConnectionPool::new(cx),
-            request_bodies: RequestBodies::default(),
-            callers: ConnectionTable::new(ProcessLimits::default().caller_connections()),
+            request_bodies: RequestBodies::new(process_limits.caller_body_bytes()),
+            callers: ConnectionTable::new(process_limits.caller_connections()),
+            peer_messages: RequestBodies::new(process_limits.peer_message_bytes()),
+            peers: ConnectionTable::new(process_limits.peer_connections()),
             metrics,
             log_limiter: LogRateLimiter::default(),
             suspension_detector: SuspensionDetector::default(),
@@ -201,8 +206,22 @@
     /// Sets what the process may use, from which the space for the bodies of requests and the maximum number
     /// of connections follow.
     pub fn set_process_limits(&self, limits: ProcessLimits) {
-        self.request_bodies.set_memory(limits.memory_bytes);
+        self.request_bodies
+            .set_max_bytes(limits.caller_body_bytes());
         self.callers.set_max(limits.caller_connections());
+        self.peer_messages
+            .set_max_bytes(limits.peer_message_bytes());
+        self.peers.set_max(limits.peer_connections());
+    }
+
+    /// Returns the messages of other entries that are being received.
+    pub(crate) const fn peer_messages(&self) -> &RequestBodies {
+        &self.peer_messages
+    }
+
+    /// Returns the connections of other entries.
+    pub(crate) const fn peers(&self) -> &Arc<ConnectionTable> {
+        &self.peers
     }
 
     /// Returns the connections of callers.
--- a/crates/direct/src/exchange/server.rs
+++ b/crates/direct/src/exchange/server.rs
@@ -7,12 +7,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use eelgrassramp::Kind;
 use eelgrassramp::Result;
 use eelgrassramp::lock;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -36,12 +35,16 @@
 use super::message::decode;
 use super::message::encode;
 use super::sent_state::SentState;
+use crate::connection_table::OpenConnection;
 use crate::connections;
 use crate::listener::listen;
 
 /// Time for which a connection without a request, or with an incomplete head, is kept open.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Maximum size of the read buffer of a connection, which also limits the head of a request.
+const MAX_READ_BUFFER_BYTES: usize = 16 * 1024;
+
 /// Timeout for the body of a request.
 const RECEIVE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -50,7 +53,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Kind::InvalidSettings`](eelgrassramp::Kind::InvalidSettings) when `addr` cannot be listened on.
+    /// Returns [`Kind::InvalidSettings`] when `addr` cannot be listened on.
     pub async fn serve(self: Arc<Self>, addr: SocketAddr) -> Result<()> {
         let listener = listen(addr)?;
         loop {
@@ -62,11 +65,15 @@
                     continue;
                 }
             };
-            tokio::spawn(Arc::clone(&self).serve_connection(stream));
+            if let Some(open) = self.entry.peers().open(self.entry.cx().timers.now()) {
+                tokio::spawn(Arc::clone(&self).serve_connection(stream, open));
+                // A connection that has to close does so before the next one is accepted.
+                tokio::task::yield_now().await;
+            }
         }
     }
 
-    async fn serve_connection(self: Arc<Self>, stream: TcpStream) {
+    async fn serve_connection(self: Arc<Self>, stream: TcpStream, open: OpenConnection) {
         if let Err(e) = connections::set_socket_options(&stream) {
             debug!(self.entry.cx().log, "socket options failed"; "error" => %e);
         }
@@ -74,15 +81,20 @@
         let service = service_fn(|req| {
             let exchange = Arc::clone(&self);
             let sent = &sent;
+            open.set_waits_since(Some(self.entry.cx().timers.now()));
             async move { Ok::<_, Infallible>(exchange.handle(req, sent).await) }
         });
-        // The client opens a new connection when this one ends.
-        let _result = server::Builder::new()
+        let connection = server::Builder::new()
             .auto_date_header(false)
             .timer(TokioTimer::new())
             .header_read_timeout(IDLE_TIMEOUT)
-            .serve_connection(TokioIo::new(stream), service)
-            .await;
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::select! {
+            // The client opens a new connection when this one ends.
+            _ended = connection => {}
+            () = open.closed() => {}
+        }
     }
 
     async fn handle(
@@ -92,11 +104,12 @@
     ) -> Response<Full<Bytes>> {
         self.entry.check_for_suspension();
         let path = req.uri().path().to_owned();
-        let body = Limited::new(req.into_body(), MAX_MESSAGE_BYTES).collect();
+        let messages = self.entry.peer_messages();
+        let body = messages.read(req.into_body(), MAX_MESSAGE_BYTES);
         let timers = &self.entry.cx().timers;
         let body = match timers.limit(RECEIVE_TIMEOUT, body).await {
             None => return status_only(StatusCode::REQUEST_TIMEOUT),
-            Some(Err(_)) => return status_only(StatusCode::PAYLOAD_TOO_LARGE),
+            Some(Err(e)) => return status_only(status_of_unread_body(e.kind())),
             Some(Ok(body)) => body,
         };
         let result = match path.as_str() {
@@ -118,7 +131,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Kind::Malformed`](eelgrassramp::Kind::Malformed) when it cannot be read.
+    /// Returns [`Kind::Malformed`] when it cannot be read.
     pub fn receive_usage(&self, body: &[u8]) -> Result<()> {
         self.apply_usage(UsageMessage::decode(body)?);
         Ok(())
@@ -146,6 +159,14 @@
     }
 }
 
+const fn status_of_unread_body(cause: Kind) -> StatusCode {
+    match cause {
+        Kind::RequestTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        Kind::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::BAD_REQUEST,
+    }
+}
+
 fn status_only(status: StatusCode) -> Response<Full<Bytes>> {
     let mut resp = Response::new(Full::new(Bytes::new()));
     *resp.status_mut() = status;
--- a/crates/direct/src/process_limits.rs
+++ b/crates/direct/src/process_limits.rs
@@ -7,6 +7,20 @@
 /// entries.
 const CALLER_SOCKET_PERCENT: usize = 70;
 
+/// Percentage of the sockets that connections of other entries may take.
+const PEER_SOCKET_PERCENT: usize = 10;
+
+/// Memory of a process whose settings name no maximum.
+const DEFAULT_MEMORY_BYTES: usize = 160 * 1024 * 1024;
+
+/// Percentage of the memory that the bodies of all callers' requests may take together.
+///
+/// The rest is for connections, responses and state.
+const CALLER_BODY_PERCENT: usize = 30;
+
+/// Percentage of the memory that messages of other entries may take together while they are received.
+const PEER_MESSAGE_PERCENT: usize = 10;
+
 /// Percentage of the memory that callers' connections may take, without the bodies of their requests.
 const CALLER_MEMORY_PERCENT: usize = 20;
 
@@ -27,11 +41,36 @@
     /// Returns the maximum number of callers' connections.
     #[must_use]
     pub fn caller_connections(self) -> usize {
-        let sockets = self.sockets.unwrap_or(DEFAULT_SOCKETS);
-        let by_sockets = sockets * CALLER_SOCKET_PERCENT / 100;
+        let by_sockets = self.sockets() * CALLER_SOCKET_PERCENT / 100;
         let by_memory = self.memory_bytes.map_or(usize::MAX, |bytes| {
             bytes / 100 * CALLER_MEMORY_PERCENT / CONNECTION_BYTES
         });
         by_sockets.min(by_memory).max(1)
     }
+
+    /// Returns the maximum number of connections of other entries.
+    #[must_use]
+    pub fn peer_connections(self) -> usize {
+        (self.sockets() * PEER_SOCKET_PERCENT / 100).max(1)
+    }
+
+    /// Returns the maximum size of all bodies of callers' requests together.
+    #[must_use]
+    pub fn caller_body_bytes(self) -> usize {
+        self.memory_bytes() / 100 * CALLER_BODY_PERCENT
+    }
+
+    /// Returns the maximum size of all messages of other entries together, while they are received.
+    #[must_use]
+    pub fn peer_message_bytes(self) -> usize {
+        self.memory_bytes() / 100 * PEER_MESSAGE_PERCENT
+    }
+
+    fn sockets(self) -> usize {
+        self.sockets.unwrap_or(DEFAULT_SOCKETS)
+    }
+
+    fn memory_bytes(self) -> usize {
+        self.memory_bytes.unwrap_or(DEFAULT_MEMORY_BYTES)
+    }
 }
--- a/crates/direct/src/request_body.rs
+++ b/crates/direct/src/request_body.rs
@@ -25,14 +25,6 @@
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
 
-/// Maximum size of all bodies together where the memory of the process is not known.
-const DEFAULT_MAX_BYTES: usize = 48 * 1024 * 1024;
-
-/// Percentage of the memory of the process that all bodies may take together.
-///
-/// The rest is for connections, responses and state.
-const MEMORY_PERCENT: usize = 30;
-
 /// Size of the first block of a body that declares no length.
 const MIN_BLOCK_BYTES: usize = 4 * 1024;
 
@@ -41,7 +33,7 @@
 /// The allocator takes larger ones from the operating system and gives them back late.
 const MAX_BLOCK_BYTES: usize = 32 * 1024;
 
-/// The bodies of the requests that an entry serves.
+/// The bodies of the requests that one listener receives.
 #[derive(Debug, Clone)]
 pub(crate) struct RequestBodies {
     budget: Arc<Budget>,
@@ -54,18 +46,6 @@
     max_bytes: AtomicUsize,
 }
 
-impl Default for RequestBodies {
-    fn default() -> Self {
-        let budget = Budget {
-            total_bytes: AtomicUsize::new(0),
-            max_bytes: AtomicUsize::new(DEFAULT_MAX_BYTES),
-        };
-        Self {
-            budget: Arc::new(budget),
-        }
-    }
-}
-
 /// The whole body of one request.
 #[derive(Debug, Clone)]
 pub(crate) struct RequestBody {
@@ -81,9 +61,19 @@
 }
 
 impl RequestBodies {
-    /// Sets the memory that the process may use, if it is known.
-    pub(crate) fn set_memory(&self, bytes: Option<usize>) {
-        let max_bytes = bytes.map_or(DEFAULT_MAX_BYTES, |bytes| bytes / 100 * MEMORY_PERCENT);
+    /// Creates a budget of `max_bytes` for all bodies together.
+    pub(crate) fn new(max_bytes: usize) -> Self {
+        let budget = Budget {
+            total_bytes: AtomicUsize::new(0),
+            max_bytes: AtomicUsize::new(max_bytes),
+        };
+        Self {
+            budget: Arc::new(budget),
+        }
+    }
+
+    /// Sets the maximum size of all bodies together.
+    pub(crate) fn set_max_bytes(&self, max_bytes: usize) {
         self.budget.max_bytes.store(max_bytes, Ordering::Relaxed);
     }
 
@@ -142,6 +132,15 @@
         &self.blocks
     }
 
+    /// Returns the body in one piece, for which it is copied if it has several blocks.
+    pub(crate) fn to_bytes(&self) -> Bytes {
+        match &*self.blocks {
+            [] => Bytes::new(),
+            [block] => block.clone(),
+            blocks => blocks.concat().into(),
+        }
+    }
+
     /// Returns the body in the form in which it is sent. It stays reserved until that is dropped.
     pub(crate) fn to_sent(&self) -> SentBody {
         SentBody {
