Bounds on bodies and connections move to the crate that both deployments use

The deployment with sidecars reads from clients too and needs the same bounds. Moved without a change of behaviour: request_body, connection_table and listener, with their tests.

--- a/crates/direct/src/connections.rs
+++ b/crates/direct/src/connections.rs
@@ -17,6 +17,7 @@
 use eelgrassramp::EndpointName;
 use eelgrassramp::Monotonic;
 use eelgrassramp::lock;
+use eelgrassramp::request_body::SentBody;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
@@ -32,7 +33,6 @@
 use self::read_limit::LimitedStream;
 use self::read_limit::ReadLimit;
 use crate::endpoint::Endpoint;
-use crate::request_body::SentBody;
 
 /// Timeout for opening a connection to an endpoint.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
--- a/crates/direct/src/exchange/server.rs
+++ b/crates/direct/src/exchange/server.rs
@@ -9,6 +9,8 @@
 use bytes::Bytes;
 use eelgrassramp::Kind;
 use eelgrassramp::Result;
+use eelgrassramp::connection_table::OpenConnection;
+use eelgrassramp::listener::listen;
 use eelgrassramp::lock;
 use http::StatusCode;
 use http_body_util::Full;
@@ -35,9 +37,7 @@
 use super::message::decode;
 use super::message::encode;
 use super::sent_state::SentState;
-use crate::connection_table::OpenConnection;
 use crate::connections;
-use crate::listener::listen;
 
 /// Time for which a connection without a request, or with an incomplete head, is kept open.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -6,11 +6,10 @@
 //! also pass on tables, endpoints and evacuated failure domains to each other ([`exchange`]).
 //!
 //! Decisions are state machines without I/O ([`dispatcher`], [`request_queue`],
-//! [`endpoint_tracker`], [`connection_table`], [`quota`], [`retry`], [`crash_attribution`]); the other modules drive them. The platform's protocols
+//! [`endpoint_tracker`], [`quota`], [`retry`], [`crash_attribution`]); the other modules drive them. The platform's protocols
 //! for callers and endpoints are decoded behind [`protocol`]. Start with `docs/design/platform.md`.
 
 mod attempt;
-pub mod connection_table;
 pub mod connections;
 pub mod crash_attribution;
 pub mod decaying_sum;
@@ -24,7 +23,6 @@
 mod forward;
 mod handle;
 pub mod lateness;
-mod listener;
 mod metrics;
 pub mod prior_wait;
 mod process_limits;
@@ -33,7 +31,6 @@
 mod refusal;
 pub mod registry;
 mod relay;
-mod request_body;
 pub mod request_log;
 pub mod request_queue;
 pub mod retry;
--- a/crates/direct/src/server.rs
+++ b/crates/direct/src/server.rs
@@ -11,6 +11,9 @@
 
 use bytes::Bytes;
 use eelgrassramp::Result;
+use eelgrassramp::connection_table::ConnectionTable;
+use eelgrassramp::connection_table::OpenConnection;
+use eelgrassramp::listener::listen;
 use eelgrassramp::restart_on_panic;
 use http::StatusCode;
 use http_body_util::Full;
@@ -32,12 +35,9 @@
 use self::caller_stream::CallerConnection;
 use self::caller_stream::CallerStream;
 use self::caller_stream::TrackedBody;
-use crate::connection_table::ConnectionTable;
-use crate::connection_table::OpenConnection;
 use crate::connections;
 use crate::entry::Entry;
 use crate::handle::handle;
-use crate::listener::listen;
 use crate::request_log::LogLineKind;
 
 /// Time that the load balancer in front of the entries needs to stop opening new connections after a
--- a/crates/direct/src/server/caller_stream.rs
+++ b/crates/direct/src/server/caller_stream.rs
@@ -16,7 +16,9 @@
 use std::task::ready;
 
 use eelgrassramp::Monotonic;
+use eelgrassramp::connection_table::OpenConnection;
 use eelgrassramp::lock;
+use eelgrassramp::request_body::Reservation;
 use http::Version;
 use http::header::CONTENT_LENGTH;
 use hyper::Response;
@@ -28,10 +30,8 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
-use crate::connection_table::OpenConnection;
 use crate::entry::Entry;
 use crate::handle::ResponseBody;
-use crate::request_body::Reservation;
 
 /// Bytes of a head that need no part of the memory for requests.
 const UNRESERVED_HEAD_BYTES: usize = 8 * 1024;
--- a/crates/direct/src/connection_table.rs
+++ b/crates/eelgrassramp/src/connection_table.rs
@@ -11,8 +11,8 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
-use eelgrassramp::Monotonic;
-use eelgrassramp::lock;
+use crate::sync::lock;
+use crate::time::Monotonic;
 use tokio_util::sync::CancellationToken;
 
 /// The open connections of one listener.
--- a/crates/eelgrassramp/src/lib.rs
+++ b/crates/eelgrassramp/src/lib.rs
@@ -16,6 +16,7 @@
 //! ```
 
 pub mod admission;
+pub mod connection_table;
 pub mod engine;
 pub mod entry;
 mod error;
@@ -25,6 +26,7 @@
 pub mod lease;
 pub mod ledger;
 pub mod link;
+pub mod listener;
 pub mod log;
 pub mod membership;
 pub mod metrics;
@@ -32,6 +34,7 @@
 pub mod num;
 mod process;
 pub mod proof;
+pub mod request_body;
 pub mod retry;
 pub mod rollout;
 pub mod routing;
--- a/crates/direct/src/listener.rs
+++ b/crates/eelgrassramp/src/listener.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
-use eelgrassramp::Error;
-use eelgrassramp::Kind;
-use eelgrassramp::Result;
+use crate::error::Error;
+use crate::error::Kind;
+use crate::error::Result;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 
@@ -22,7 +22,7 @@
 /// # Errors
 ///
 /// Returns [`Kind::InvalidSettings`] when the address cannot be listened on.
-pub(crate) fn listen(addr: SocketAddr) -> Result<TcpListener> {
+pub fn listen(addr: SocketAddr) -> Result<TcpListener> {
     try_listen(addr).map_err(|e| {
         Error::with_source(Kind::InvalidSettings, format!("cannot listen on {addr}"), e)
     })
--- a/crates/direct/src/request_body.rs
+++ b/crates/eelgrassramp/src/request_body.rs
@@ -12,11 +12,11 @@
 use std::task::Context;
 use std::task::Poll;
 
+use crate::error::Error;
+use crate::error::Kind;
+use crate::error::Result;
 use bytes::Bytes;
 use bytes::BytesMut;
-use eelgrassramp::Error;
-use eelgrassramp::Kind;
-use eelgrassramp::Result;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -35,7 +35,7 @@
 
 /// The bodies of the requests that one listener receives.
 #[derive(Debug, Clone)]
-pub(crate) struct RequestBodies {
+pub struct RequestBodies {
     budget: Arc<Budget>,
 }
 
@@ -48,21 +48,22 @@
 
 /// The whole body of one request.
 #[derive(Debug, Clone)]
-pub(crate) struct RequestBody {
+pub struct RequestBody {
     blocks: Arc<[Bytes]>,
     reservation: Arc<Reservation>,
 }
 
 /// Part of the total that one body or head takes, until it is dropped.
 #[derive(Debug)]
-pub(crate) struct Reservation {
+pub struct Reservation {
     budget: Arc<Budget>,
     bytes: usize,
 }
 
 impl RequestBodies {
     /// Creates a budget of `max_bytes` for all bodies together.
-    pub(crate) fn new(max_bytes: usize) -> Self {
+    #[must_use]
+    pub fn new(max_bytes: usize) -> Self {
         let budget = Budget {
             total_bytes: AtomicUsize::new(0),
             max_bytes: AtomicUsize::new(max_bytes),
@@ -73,17 +74,19 @@
     }
 
     /// Sets the maximum size of all bodies together.
-    pub(crate) fn set_max_bytes(&self, max_bytes: usize) {
+    pub fn set_max_bytes(&self, max_bytes: usize) {
         self.budget.max_bytes.store(max_bytes, Ordering::Relaxed);
     }
 
     /// Returns the size of all bodies together.
-    pub(crate) fn total_bytes(&self) -> usize {
+    #[must_use]
+    pub fn total_bytes(&self) -> usize {
         self.budget.total_bytes.load(Ordering::Relaxed)
     }
 
     /// Returns the maximum size of all bodies together.
-    pub(crate) fn max_bytes(&self) -> usize {
+    #[must_use]
+    pub fn max_bytes(&self) -> usize {
         self.budget.max_bytes.load(Ordering::Relaxed)
     }
 
@@ -93,7 +96,7 @@
     ///
     /// Returns [`Kind::RequestTooLarge`] when it is larger, [`Kind::Overloaded`] when the bodies of all
     /// requests are too large together, and [`Kind::BadRequest`] when it cannot be read.
-    pub(crate) async fn read(&self, body: Incoming, max_bytes: usize) -> Result<RequestBody> {
+    pub async fn read(&self, body: Incoming, max_bytes: usize) -> Result<RequestBody> {
         let mut buf = BodyBuffer::new(declared_bytes(&body), self.reserve_nothing());
         let mut body = Limited::new(body, max_bytes);
         while let Some(frame) = body.frame().await {
@@ -112,7 +115,8 @@
     }
 
     /// Returns a reservation that can be extended.
-    pub(crate) fn reserve_nothing(&self) -> Reservation {
+    #[must_use]
+    pub fn reserve_nothing(&self) -> Reservation {
         Reservation {
             budget: Arc::clone(&self.budget),
             bytes: 0,
@@ -128,12 +132,14 @@
 
 impl RequestBody {
     /// Returns the bytes of the body in blocks.
-    pub(crate) fn blocks(&self) -> &[Bytes] {
+    #[must_use]
+    pub fn blocks(&self) -> &[Bytes] {
         &self.blocks
     }
 
     /// Returns the body in one piece, for which it is copied if it has several blocks.
-    pub(crate) fn to_bytes(&self) -> Bytes {
+    #[must_use]
+    pub fn to_bytes(&self) -> Bytes {
         match &*self.blocks {
             [] => Bytes::new(),
             [block] => block.clone(),
@@ -142,7 +148,8 @@
     }
 
     /// Returns the body in the form in which it is sent. It stays reserved until that is dropped.
-    pub(crate) fn to_sent(&self) -> SentBody {
+    #[must_use]
+    pub fn to_sent(&self) -> SentBody {
         SentBody {
             blocks: Arc::clone(&self.blocks),
             next: 0,
@@ -264,7 +271,7 @@
     /// # Errors
     ///
     /// Returns [`Kind::Overloaded`] when all requests are too large together.
-    pub(crate) fn extend(&mut self, n: usize) -> Result<()> {
+    pub fn extend(&mut self, n: usize) -> Result<()> {
         let total = self.budget.total_bytes.fetch_add(n, Ordering::Relaxed) + n;
         self.bytes += n;
         let max_bytes = self.budget.max_bytes.load(Ordering::Relaxed);
--- a/crates/direct/tests/connection_table.rs
+++ b/crates/eelgrassramp/tests/connection_table.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use eelgrassramp::Monotonic;
-use eelgrassramp_direct::connection_table::ConnectionTable;
-use eelgrassramp_direct::connection_table::OpenConnection;
+use eelgrassramp::connection_table::ConnectionTable;
+use eelgrassramp::connection_table::OpenConnection;
 use googletest::prelude::*;
 use tokio::time::timeout;
 
--- a/crates/standins/src/crowd.rs
+++ b/crates/standins/src/crowd.rs
@@ -26,8 +26,7 @@
 impl Crowd {
     /// Lets `count` clients connect and send the request that `upload` returns for their number.
     ///
-    /// Returns when each of them has sent everything, has been refused, or has waited for
-    /// [`SEND_TIMEOUT`].
+    /// Returns when each of them has sent everything, has been refused, or has waited for some seconds.
     pub async fn send(addr: SocketAddr, count: usize, upload: impl Fn(usize) -> Upload) -> Self {
         let mut clients = JoinSet::new();
         for n in 0..count {
