entry: the bodies of all requests have a bound together (deployment with sidecars)

Callers saw: many large bodies at once that stop short of their end, or bodies in very small chunks, end the entry by its memory and with it the requests of all callers.

Cause: each connection collected its body on its own, up to the route's limit, as a list of the chunks in which it came. A chunk of one byte takes 32 bytes of that list: 128 KiB of them take over 5 MB. Nothing bounded all of them together.

Ruled out: the limit of one body holds (413 for those announced over it, before and after).

Change: bodies are received by blocks, which are reserved first, within limits.body_bytes (48 MiB by default) for all requests; one that finds no room is refused with 503 and has not run. The listener has the small receive buffer of the direct entry. Why it works: memory follows bytes that were received and counted, in any chunks.

--- a/crates/eelgrassramp/src/entry/http.rs
+++ b/crates/eelgrassramp/src/entry/http.rs
@@ -1,12 +1,11 @@
 //! The HTTP interface for callers.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::TryStreamExt;
 use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use http_body_util::StreamBody;
 use hyper::Request;
 use hyper::Response;
@@ -28,6 +27,7 @@
 use crate::error::Error;
 use crate::error::Kind;
 use crate::error::Result;
+use crate::request_body::RequestBodies;
 use crate::time::Timers;
 use crate::wire::Header;
 
@@ -45,61 +45,64 @@
     "upgrade",
 ];
 
+/// What the requests on one connection of a caller have in common.
+#[derive(Debug)]
+pub(super) struct CallerConnection {
+    pub(super) service: Service,
+    pub(super) timers: Timers,
+    /// Time for a caller to send the body of a request.
+    pub(super) receive_timeout: Duration,
+    /// The bodies of all callers' requests.
+    pub(super) bodies: RequestBodies,
+}
+
 /// Handles one HTTP request.
 pub(super) async fn handle(
-    service: Service,
-    timers: Timers,
-    receive_timeout: Duration,
+    connection: Arc<CallerConnection>,
     req: Request<Incoming>,
 ) -> Response<HttpBody> {
+    let service = &connection.service;
     match req.uri().path() {
         "/healthz" => return plain_text(StatusCode::OK, "ok\n"),
         "/readyz" if service.is_ready() => return plain_text(StatusCode::OK, "ready\n"),
         "/readyz" => return plain_text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-        "/histograms" => return histograms(&service),
+        "/histograms" => return histograms(service),
         _ => {}
     }
-    let response = match read_request(&service, &timers, receive_timeout, req).await {
-        Ok(req) => service.call(req).await,
-        Err(e) => service.refuse(&e),
-    };
-    to_response(response)
+    match connection.read_request(req).await {
+        Ok(req) => to_response(service.call(req).await),
+        Err(e) => to_response(service.refuse(&e)),
+    }
 }
 
-async fn read_request(
-    service: &Service,
-    timers: &Timers,
-    limit: Duration,
-    req: Request<Incoming>,
-) -> Result<CallerRequest> {
-    let max_body_bytes = service.max_body_bytes(req.uri().path())?;
-    let (parts, body) = req.into_parts();
-    if body.size_hint().lower() > crate::num::count(max_body_bytes) {
-        return Err(too_large_error(max_body_bytes));
+impl CallerConnection {
+    async fn read_request(&self, req: Request<Incoming>) -> Result<CallerRequest> {
+        let max_body_bytes = self.service.max_body_bytes(req.uri().path())?;
+        let (parts, body) = req.into_parts();
+        if body.size_hint().lower() > crate::num::count(max_body_bytes) {
+            return Err(too_large_error(max_body_bytes));
+        }
+        let limit = self.receive_timeout;
+        let body = self
+            .timers
+            .limit(limit, self.bodies.read(body, max_body_bytes))
+            .await
+            .ok_or_else(|| {
+                let detail = format!("request body not received within {} ms", limit.as_millis());
+                Error::new(Kind::RequestTimeout, detail)
+            })??;
+        let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+        let headers = parts.headers.iter().map(|(name, value)| Header {
+            name: name.as_str().to_owned(),
+            value: value.as_bytes().to_vec(),
+        });
+        Ok(CallerRequest {
+            method: parts.method.as_str().to_owned(),
+            path: path.to_owned(),
+            headers: headers.collect(),
+            body: body.into_bytes(),
+        })
     }
-    let body = timers
-        .limit(limit, Limited::new(body, max_body_bytes).collect())
-        .await
-        .ok_or_else(|| {
-            let detail = format!("request body not received within {} ms", limit.as_millis());
-            Error::new(Kind::RequestTimeout, detail)
-        })?
-        .map_err(|e| match e.downcast_ref::<LengthLimitError>() {
-            Some(_) => too_large_error(max_body_bytes),
-            None => Error::with_source(Kind::BadRequest, "body", e),
-        })?
-        .to_bytes();
-    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
-    let headers = parts.headers.iter().map(|(name, value)| Header {
-        name: name.as_str().to_owned(),
-        value: value.as_bytes().to_vec(),
-    });
-    Ok(CallerRequest {
-        method: parts.method.as_str().to_owned(),
-        path: path.to_owned(),
-        headers: headers.collect(),
-        body,
-    })
 }
 
 fn too_large_error(max_body_bytes: usize) -> Error {
--- a/crates/eelgrassramp/src/entry/serve.rs
+++ b/crates/eelgrassramp/src/entry/serve.rs
@@ -20,6 +20,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::http;
+use super::http::CallerConnection;
 use super::service::Service;
 use super::settings::LimitSettings;
 use super::settings::Settings;
@@ -30,8 +31,10 @@
 use crate::lease::LeaseTimings;
 use crate::link::HttpLink;
 use crate::link::SidecarLink;
+use crate::listener;
 use crate::membership::MembershipTracker;
 use crate::process::Context;
+use crate::request_body::RequestBodies;
 use crate::rollout;
 use crate::store::HttpObjectApi;
 use crate::store::HttpSettings;
@@ -60,9 +63,7 @@
 /// [`Kind::Internal`] when requests were still in progress at the drain timeout.
 pub async fn serve(settings: Settings, cx: Context) -> Result<()> {
     let listen = settings.listen;
-    let listener = TcpListener::bind(listen)
-        .await
-        .map_err(|e| Error::with_source(Kind::InvalidSettings, format!("listen on {listen}"), e))?;
+    let listener = listener::listen(listen)?;
     let link: Arc<dyn SidecarLink> = Arc::new(HttpLink::new(cx.timers.clone()));
     let current = Arc::new(CurrentTables::default());
     let http = HttpObjectApi::new(
@@ -114,6 +115,7 @@
         service: service.clone(),
         cx: cx.clone(),
         limits: settings.limits,
+        bodies: RequestBodies::new(settings.limits.body_bytes),
         drain_token: drain_token.clone(),
         tracker: TaskTracker::new(),
     };
@@ -142,6 +144,7 @@
     service: Service,
     cx: Context,
     limits: LimitSettings,
+    bodies: RequestBodies,
     drain_token: CancellationToken,
     tracker: TaskTracker,
 }
@@ -177,11 +180,14 @@
     async fn serve(&self, socket: TcpStream) {
         // If the option cannot be set, responses are only slower.
         let _set = socket.set_nodelay(true);
-        let service = self.service.clone();
-        let timers = self.cx.timers.clone();
-        let limit = self.limits.receive_timeout();
+        let connection = Arc::new(CallerConnection {
+            service: self.service.clone(),
+            timers: self.cx.timers.clone(),
+            receive_timeout: self.limits.receive_timeout(),
+            bodies: self.bodies.clone(),
+        });
         let handler = tower::service_fn(move |req: Request<Incoming>| {
-            let handled = http::handle(service.clone(), timers.clone(), limit, req);
+            let handled = http::handle(Arc::clone(&connection), req);
             async move { Ok::<_, Infallible>(handled.await) }
         });
         let builder = self.builder();
--- a/crates/eelgrassramp/src/entry/settings.rs
+++ b/crates/eelgrassramp/src/entry/settings.rs
@@ -80,6 +80,8 @@
     pub connections: usize,
     /// Bytes of a request's headers.
     pub header_bytes: usize,
+    /// Bytes of the bodies of all requests together.
+    pub body_bytes: usize,
     /// Time for a caller to send its headers or its body, in milliseconds.
     pub receive_ms: u64,
     /// Queued requests of one pool.
@@ -99,6 +101,7 @@
         Self {
             connections: 10_000,
             header_bytes: 32 * 1024,
+            body_bytes: 48 * 1024 * 1024,
             receive_ms: 10_000,
             queue_items: 2_048,
             queue_tokens: 4_000_000,
@@ -204,6 +207,7 @@
         let limits = [
             ("limits.connections", self.limits.connections),
             ("limits.header_bytes", self.limits.header_bytes),
+            ("limits.body_bytes", self.limits.body_bytes),
             ("limits.queue_items", self.limits.queue_items),
             ("limits.accounts", self.limits.accounts),
             (
--- a/crates/eelgrassramp/src/request_body.rs
+++ b/crates/eelgrassramp/src/request_body.rs
@@ -147,6 +147,16 @@
         }
     }
 
+    /// Returns the body in one piece, which stays reserved until its last part is dropped.
+    #[must_use]
+    pub fn into_bytes(self) -> Bytes {
+        let whole = self.to_bytes();
+        Bytes::from_owner(ReservedBytes {
+            bytes: whole,
+            _reservation: self.reservation,
+        })
+    }
+
     /// Returns the body in the form in which it is sent. It stays reserved until that is dropped.
     #[must_use]
     pub fn to_sent(&self) -> SentBody {
@@ -231,6 +241,18 @@
     }
 }
 
+/// A body in one piece with its reservation.
+struct ReservedBytes {
+    bytes: Bytes,
+    _reservation: Arc<Reservation>,
+}
+
+impl AsRef<[u8]> for ReservedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// A request body that is sent to an endpoint.
 #[derive(Debug)]
 pub struct SentBody {
--- a/crates/standins/src/crowd/upload.rs
+++ b/crates/standins/src/crowd/upload.rs
@@ -18,6 +18,8 @@
     Chunks(usize),
     /// Not at all: what is sent belongs to the head, which does not end.
     Head,
+    /// No byte is sent, not even a head.
+    Silence,
 }
 
 /// A request of which only the beginning is sent.
@@ -42,13 +44,16 @@
         match self.framing {
             Framing::Length(bytes) => format!("{head}Content-Length: {bytes}\r\n\r\n"),
             Framing::Chunks(_) => format!("{head}Transfer-Encoding: chunked\r\n\r\n"),
-            Framing::Head => format!("{head}Note: "),
+            Framing::Head | Framing::Silence => format!("{head}Note: "),
         }
     }
 
     /// Sends the beginning of the request.
     pub(super) async fn send(&self, stream: &mut TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
+        if self.framing == Framing::Silence {
+            return Ok(());
+        }
         stream.write_all(self.head().as_bytes()).await?;
         let unit = self.unit();
         let mut units_left = self.sent_bytes / unit.bytes;
@@ -64,7 +69,7 @@
 
     fn unit(&self) -> Unit {
         match self.framing {
-            Framing::Length(_) | Framing::Head => Unit::new(b"x", 1),
+            Framing::Length(_) | Framing::Head | Framing::Silence => Unit::new(b"x", 1),
             Framing::Chunks(bytes) => Unit::new(&chunk(bytes), bytes),
         }
     }
--- a/crates/standins/src/crowd/usage.rs
+++ b/crates/standins/src/crowd/usage.rs
@@ -13,6 +13,12 @@
 /// Interval between two samples.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time within which a process that still reads has read something.
+const READ_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Maximum number of checks whether a process still reads.
+const MAX_READ_CHECKS: u32 = 30;
+
 /// Bytes in the unit of `/proc/PID/status`.
 const KIBIBYTE: u64 = 1_024;
 
@@ -59,6 +65,8 @@
 /// Samples what a process uses until it is dropped.
 #[derive(Debug)]
 pub struct UsageWatch {
+    pid: u32,
+    listeners: Vec<SocketAddr>,
     peak: Arc<Mutex<Usage>>,
     task: JoinHandle<()>,
 }
@@ -68,14 +76,33 @@
     #[must_use]
     pub fn start(pid: u32, listeners: &[SocketAddr]) -> Self {
         let peak = Arc::new(Mutex::new(Usage::default()));
-        let (shared, listeners) = (Arc::clone(&peak), listeners.to_vec());
+        let shared = Arc::clone(&peak);
+        let sampled = listeners.to_vec();
         let task = tokio::spawn(async move {
-            while let Some(usage) = Usage::of(pid, &listeners) {
+            while let Some(usage) = Usage::of(pid, &sampled) {
                 raise(&shared, usage);
                 tokio::time::sleep(SAMPLE_INTERVAL).await;
             }
         });
-        Self { peak, task }
+        Self {
+            pid,
+            listeners: listeners.to_vec(),
+            peak,
+            task,
+        }
+    }
+
+    /// Waits until the process has read what its clients sent, or reads no more of it.
+    pub async fn wait_until_read(&self) {
+        let mut unread_bytes = None;
+        for _ in 0..MAX_READ_CHECKS {
+            tokio::time::sleep(READ_CHECK_INTERVAL).await;
+            let now = Usage::of(self.pid, &self.listeners).map(|usage| usage.unread_bytes);
+            if now == unread_bytes {
+                return;
+            }
+            unread_bytes = now;
+        }
     }
 
     /// Returns the most that the process used in any sample.
