entry: a connection on which nothing is sent makes room for the next one (deployment with sidecars)

Callers saw: as many clients as limits.connections allows, which connect and send nothing, and no other caller is answered any more, for as long as they like to stay.

Cause: at the limit the listener accepted nothing until a connection ended, and one without a single byte never ends: the time limit of a head begins once the HTTP version was recognized.

Ruled out: the limit itself; sockets stayed within it (258 with 250 allowed to callers).

Change: the connection table of the direct entry, where the connection that has waited longest for its caller is closed. As one connection may carry several requests here, the table counts them (ServedRequest); a connection is in use until the last of them has ended. Why it works: whoever sends a request is not the one that waited longest, and connections in use are not closed.

--- a/crates/direct/src/exchange/server.rs
+++ b/crates/direct/src/exchange/server.rs
@@ -81,7 +81,7 @@
         let service = service_fn(|req| {
             let exchange = Arc::clone(&self);
             let sent = &sent;
-            open.set_waits_since(Some(self.entry.cx().timers.now()));
+            open.wait_from(self.entry.cx().timers.now());
             async move { Ok::<_, Infallible>(exchange.handle(req, sent).await) }
         });
         let connection = server::Builder::new()
--- a/crates/direct/src/server.rs
+++ b/crates/direct/src/server.rs
@@ -221,7 +221,7 @@
         warn!(entry.cx().log, "socket options failed"; "error" => %e);
     }
     let service = service_fn(|req| {
-        open.set_waits_since(Some(entry.cx().timers.now()));
+        open.wait_from(entry.cx().timers.now());
         let resp = page(&entry, &req);
         async move { Ok::<_, Infallible>(resp) }
     });
--- a/crates/direct/src/server/caller_stream.rs
+++ b/crates/direct/src/server/caller_stream.rs
@@ -17,6 +17,7 @@
 
 use eelgrassramp::Monotonic;
 use eelgrassramp::connection_table::OpenConnection;
+use eelgrassramp::connection_table::ServedRequest;
 use eelgrassramp::lock;
 use eelgrassramp::request_body::Reservation;
 use http::Version;
@@ -45,6 +46,7 @@
     entry: Arc<Entry>,
     open: OpenConnection,
     awaited: Mutex<Option<AwaitedHead>>,
+    served: Mutex<Option<ServedRequest>>,
     /// Whether a response was broken off of which the caller knows no other end than that of the connection.
     must_reset: AtomicBool,
 }
@@ -64,6 +66,7 @@
             entry: Arc::clone(entry),
             open,
             awaited: Mutex::default(),
+            served: Mutex::default(),
             must_reset: AtomicBool::new(false),
         };
         connection.await_head();
@@ -72,7 +75,8 @@
 
     fn await_head(&self) {
         let now = self.entry.cx().timers.now();
-        self.open.set_waits_since(Some(now));
+        *lock(&self.served) = None;
+        self.open.wait_from(now);
         let awaited = AwaitedHead {
             since: now,
             bytes: 0,
@@ -84,13 +88,12 @@
     /// Records that the head of a request was read, and its body is awaited.
     pub(super) fn end_head(&self) {
         *self.lock() = None;
-        self.open
-            .set_waits_since(Some(self.entry.cx().timers.now()));
+        self.open.wait_from(self.entry.cx().timers.now());
     }
 
     /// Records that all of a request was received, so that the caller waits for the response.
     pub(super) fn end_request(&self) {
-        self.open.set_waits_since(None);
+        *lock(&self.served) = Some(self.open.begin_request(&self.entry.cx().timers));
     }
 
     /// Completes when the connection has to be closed in favour of another one.
--- a/crates/eelgrassramp/src/connection_table.rs
+++ b/crates/eelgrassramp/src/connection_table.rs
@@ -13,6 +13,7 @@
 
 use crate::sync::lock;
 use crate::time::Monotonic;
+use crate::time::Timers;
 use tokio_util::sync::CancellationToken;
 
 /// The open connections of one listener.
@@ -30,11 +31,26 @@
 
 #[derive(Debug)]
 struct Connection {
-    /// Since when it waits for its client; `None` while the client waits for a response.
-    waits_since: Mutex<Option<Monotonic>>,
+    usage: Mutex<ClientUsage>,
     close: CancellationToken,
 }
 
+/// Who waits for whom on a connection.
+#[derive(Debug)]
+struct ClientUsage {
+    /// Requests whose client waits for the response.
+    requests: usize,
+    /// Since when the connection waits for its client, if there are none of these.
+    waits_since: Monotonic,
+}
+
+impl Connection {
+    fn waits_since(&self) -> Option<Monotonic> {
+        let usage = lock(&self.usage);
+        (usage.requests == 0).then_some(usage.waits_since)
+    }
+}
+
 /// A connection of a [`ConnectionTable`], until it is dropped.
 #[derive(Debug)]
 pub struct OpenConnection {
@@ -43,6 +59,13 @@
     connection: Arc<Connection>,
 }
 
+/// A request on an [`OpenConnection`], until its client was answered.
+#[derive(Debug)]
+pub struct ServedRequest {
+    connection: Arc<Connection>,
+    timers: Timers,
+}
+
 impl ConnectionTable {
     /// Creates a table without connections, of which at most `max` may be open.
     #[must_use]
@@ -81,8 +104,12 @@
         }
         let id = open.next_id;
         open.next_id += 1;
+        let usage = ClientUsage {
+            requests: 0,
+            waits_since: now,
+        };
         let connection = Arc::new(Connection {
-            waits_since: Mutex::new(Some(now)),
+            usage: Mutex::new(usage),
             close: CancellationToken::new(),
         });
         open.connections.insert(id, Arc::clone(&connection));
@@ -101,7 +128,7 @@
 impl Open {
     fn close_longest_waiting(&mut self) -> Option<()> {
         let waiting = self.connections.iter();
-        let waiting = waiting.filter_map(|(id, c)| Some(((*lock(&c.waits_since))?, *id)));
+        let waiting = waiting.filter_map(|(id, c)| Some((c.waits_since()?, *id)));
         let (_, id) = waiting.min()?;
         let closed = self.connections.remove(&id)?;
         closed.close.cancel();
@@ -110,9 +137,19 @@
 }
 
 impl OpenConnection {
-    /// Records since when the connection waits for its client, or that it does not.
-    pub fn set_waits_since(&self, since: Option<Monotonic>) {
-        *lock(&self.connection.waits_since) = since;
+    /// Records that the client has sent something, or was answered, and is waited for from `now`.
+    pub fn wait_from(&self, now: Monotonic) {
+        lock(&self.connection.usage).waits_since = now;
+    }
+
+    /// Records that the client has sent a request and waits for its response, until that is dropped.
+    #[must_use]
+    pub fn begin_request(&self, timers: &Timers) -> ServedRequest {
+        lock(&self.connection.usage).requests += 1;
+        ServedRequest {
+            connection: Arc::clone(&self.connection),
+            timers: timers.clone(),
+        }
     }
 
     /// Completes when the connection has to be closed in favour of another one.
@@ -121,6 +158,14 @@
     }
 }
 
+impl Drop for ServedRequest {
+    fn drop(&mut self) {
+        let mut usage = lock(&self.connection.usage);
+        usage.requests -= 1;
+        usage.waits_since = self.timers.now();
+    }
+}
+
 impl Drop for OpenConnection {
     fn drop(&mut self) {
         self.table.lock().connections.remove(&self.id);
--- a/crates/eelgrassramp/src/entry/http.rs
+++ b/crates/eelgrassramp/src/entry/http.rs
@@ -24,6 +24,8 @@
 use super::response::CallerResponse;
 use super::response::ResponseHead;
 use super::service::Service;
+use crate::connection_table::OpenConnection;
+use crate::connection_table::ServedRequest;
 use crate::error::Error;
 use crate::error::Kind;
 use crate::error::Result;
@@ -54,6 +56,7 @@
     pub(super) receive_timeout: Duration,
     /// The bodies of all callers' requests.
     pub(super) bodies: RequestBodies,
+    pub(super) open: OpenConnection,
 }
 
 /// Handles one HTTP request.
@@ -62,6 +65,7 @@
     req: Request<Incoming>,
 ) -> Response<HttpBody> {
     let service = &connection.service;
+    connection.open.wait_from(connection.timers.now());
     match req.uri().path() {
         "/healthz" => return plain_text(StatusCode::OK, "ok\n"),
         "/readyz" if service.is_ready() => return plain_text(StatusCode::OK, "ready\n"),
@@ -70,8 +74,11 @@
         _ => {}
     }
     match connection.read_request(req).await {
-        Ok(req) => to_response(service.call(req).await),
-        Err(e) => to_response(service.refuse(&e)),
+        Ok(req) => {
+            let served = connection.open.begin_request(&connection.timers);
+            to_response(service.call(req).await, Some(served))
+        }
+        Err(e) => to_response(service.refuse(&e), None),
     }
 }
 
@@ -112,9 +119,13 @@
     )
 }
 
-fn to_response(response: CallerResponse) -> Response<HttpBody> {
+/// Converts a response, whose connection is in use by `served` until its body was sent.
+fn to_response(response: CallerResponse, served: Option<ServedRequest>) -> Response<HttpBody> {
     let CallerResponse { head, body } = response;
-    let body = StreamBody::new(body.map_ok(Frame::data));
+    let body = StreamBody::new(body.map_ok(move |bytes| {
+        let _held = &served;
+        Frame::data(bytes)
+    }));
     let mut resp = Response::new(BodyExt::boxed_unsync(body));
     *resp.status_mut() =
         StatusCode::from_u16(head.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
--- a/crates/eelgrassramp/src/entry/serve.rs
+++ b/crates/eelgrassramp/src/entry/serve.rs
@@ -15,7 +15,6 @@
 use slog::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -24,6 +23,7 @@
 use super::service::Service;
 use super::settings::LimitSettings;
 use super::settings::Settings;
+use crate::connection_table::ConnectionTable;
 use crate::error::Error;
 use crate::error::Kind;
 use crate::error::Result;
@@ -115,6 +115,7 @@
         service: service.clone(),
         cx: cx.clone(),
         limits: settings.limits,
+        connections: ConnectionTable::new(settings.limits.connections),
         bodies: RequestBodies::new(settings.limits.body_bytes),
         drain_token: drain_token.clone(),
         tracker: TaskTracker::new(),
@@ -144,6 +145,7 @@
     service: Service,
     cx: Context,
     limits: LimitSettings,
+    connections: Arc<ConnectionTable>,
     bodies: RequestBodies,
     drain_token: CancellationToken,
     tracker: TaskTracker,
@@ -152,23 +154,13 @@
 impl Acceptor {
     async fn accept(self, listener: TcpListener) {
         let acceptor = Arc::new(self);
-        let permits = Arc::new(Semaphore::new(acceptor.limits.connections));
         loop {
-            let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
-                return;
-            };
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
                 () = acceptor.drain_token.cancelled() => return,
             };
             match accepted {
-                Ok((socket, _)) => {
-                    let connection = Arc::clone(&acceptor);
-                    acceptor.tracker.spawn(async move {
-                        connection.serve(socket).await;
-                        drop(permit);
-                    });
-                }
+                Ok((socket, _)) => acceptor.spawn_connection(socket),
                 Err(e) => {
                     warn!(acceptor.cx.log, "connection not accepted"; "error" => %e);
                     acceptor.cx.timers.after(ACCEPT_RETRY_DELAY).await;
@@ -177,15 +169,34 @@
         }
     }
 
-    async fn serve(&self, socket: TcpStream) {
-        // If the option cannot be set, responses are only slower.
-        let _set = socket.set_nodelay(true);
+    /// Serves a connection, in place of one that waits for its caller if there are too many. If all are in use
+    /// by requests, it is closed.
+    fn spawn_connection(self: &Arc<Self>, socket: TcpStream) {
+        let Some(open) = self.connections.open(self.cx.timers.now()) else {
+            warn!(self.cx.log, "connection closed, all others are in use";
+                "max" => self.connections.max());
+            return;
+        };
+        let acceptor = Arc::clone(self);
         let connection = Arc::new(CallerConnection {
             service: self.service.clone(),
             timers: self.cx.timers.clone(),
             receive_timeout: self.limits.receive_timeout(),
             bodies: self.bodies.clone(),
+            open,
+        });
+        self.tracker.spawn(async move {
+            tokio::select! {
+                () = acceptor.serve(socket, &connection) => {}
+                () = connection.open.closed() => {}
+            }
         });
+    }
+
+    async fn serve(&self, socket: TcpStream, connection: &Arc<CallerConnection>) {
+        // If the option cannot be set, responses are only slower.
+        let _set = socket.set_nodelay(true);
+        let connection = Arc::clone(connection);
         let handler = tower::service_fn(move |req: Request<Incoming>| {
             let handled = http::handle(Arc::clone(&connection), req);
             async move { Ok::<_, Infallible>(handled.await) }
--- a/crates/eelgrassramp/tests/connection_table.rs
+++ b/crates/eelgrassramp/tests/connection_table.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use eelgrassramp::Monotonic;
+use eelgrassramp::Timers;
 use eelgrassramp::connection_table::ConnectionTable;
 use eelgrassramp::connection_table::OpenConnection;
+use eelgrassramp::connection_table::ServedRequest;
 use googletest::prelude::*;
 use tokio::time::timeout;
 
@@ -33,7 +35,7 @@
 async fn the_connection_that_has_waited_longest_makes_room() {
     let table = ConnectionTable::new(3);
     let connections = open(&table, 3);
-    connections[0].set_waits_since(Some(at(10)));
+    connections[0].wait_from(at(10));
 
     let next = table.open(at(11));
 
@@ -47,7 +49,7 @@
 async fn a_connection_whose_client_waits_for_a_response_is_not_closed() {
     let table = ConnectionTable::new(2);
     let connections = open(&table, 2);
-    connections[0].set_waits_since(None);
+    let _request = connections[0].begin_request(&Timers::start());
 
     let next = table.open(at(5));
 
@@ -60,9 +62,9 @@
 async fn no_connection_is_added_while_all_are_in_use() {
     let table = ConnectionTable::new(2);
     let connections = open(&table, 2);
-    for connection in &connections {
-        connection.set_waits_since(None);
-    }
+    let timers = Timers::start();
+    let requests = connections.iter().map(|c| c.begin_request(&timers));
+    let _requests: Vec<ServedRequest> = requests.collect();
 
     let refused = table.open(at(5));
     drop(connections);
@@ -89,3 +91,22 @@
     );
     expect_that!(table.count(), eq(2));
 }
+
+/// Guards against a connection with several requests that counts as unused when the first of them ends.
+#[gtest]
+#[tokio::test]
+async fn a_connection_is_in_use_until_the_last_of_its_requests_has_ended() {
+    let table = ConnectionTable::new(1);
+    let connection = table.open(at(0)).expect("there is room");
+    let timers = Timers::start();
+    let first = connection.begin_request(&timers);
+    let second = connection.begin_request(&timers);
+
+    drop(first);
+    let refused = table.open(at(5));
+    drop(second);
+    let accepted = table.open(at(6));
+
+    expect_that!(refused, none());
+    expect_that!(accepted, some(anything()));
+}
--- a/crates/programs/tests/crowd/main.rs
+++ b/crates/programs/tests/crowd/main.rs
@@ -112,3 +112,15 @@
         .await;
     verify_within_limits(&outcome)
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connections_on_which_nothing_is_sent() -> googletest::Result<()> {
+    let mut setup = start().await;
+    let outcome = setup
+        .run_crowd(Target::Entry, MANY_CLIENTS, |_| {
+            upload("/status", Framing::Silence, 0)
+        })
+        .await;
+    verify_within_limits(&outcome)
+}
