sidecar: messages have a bound together

Callers saw: whoever reaches a sidecar's port ends it by its memory with some hundred messages that stop short of their end, large ones or in very small chunks; the endpoint behind it serves nobody until it is restarted.

Cause: the same as in the entry: each connection collected a message of up to 4 MiB as a list of its chunks, and nothing bounded all of them together.

Ruled out: the ledger and kept responses; no message of this crowd is complete.

Evidence: crates/programs/tests/crowd, the sidecar as a process, 200 clients, 128 MB allowed.

A body stays reserved while the request holds it. Why it works: memory follows bytes that were received and counted.

--- a/crates/eelgrassramp/src/sidecar/serve.rs
+++ b/crates/eelgrassramp/src/sidecar/serve.rs
@@ -3,6 +3,7 @@
 mod handler;
 mod http_response;
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,11 +24,14 @@
 use crate::error::Error;
 use crate::error::Kind;
 use crate::error::Result;
+use crate::listener;
 use crate::process::Context;
+use crate::request_body::RequestBodies;
 use crate::store::HttpObjectApi;
 use crate::store::HttpSettings;
 use crate::store::ObjectApi;
 
+use self::handler::Connection;
 use super::service::Service;
 use super::settings::Settings;
 
@@ -50,10 +54,7 @@
         let http = HttpSettings::new(address, caller);
         Arc::new(HttpObjectApi::new(http, cx.timers.clone()))
     });
-    let listener = TcpListener::bind(settings.listen).await.map_err(|e| {
-        let detail = format!("listen at {}", settings.listen);
-        Error::with_source(Kind::InvalidSettings, detail, e)
-    })?;
+    let listener = listener::listen(settings.listen)?;
     serve_with(settings, engine, store, listener, cx).await
 }
 
@@ -72,10 +73,11 @@
     let drain_timeout = settings.drain_timeout();
     info!(cx.log, "sidecar serves";
         "endpoint" => %settings.endpoint, "pool" => %settings.pool, "listen" => %settings.listen);
+    let messages = RequestBodies::new(settings.message_bytes);
     let service = Service::start(settings, engine, store, cx.clone());
     let connections = GracefulShutdown::new();
     tokio::select! {
-        () = accept_connections(&listener, &service, &connections, &cx) => {}
+        () = accept_connections(&listener, &service, &messages, &connections, &cx) => {}
         () = drain(&service, &cx) => {}
     }
     // New connections are accepted until here, since entries reattach on new connections.
@@ -113,12 +115,19 @@
 async fn accept_connections(
     listener: &TcpListener,
     service: &Service,
+    messages: &RequestBodies,
     connections: &GracefulShutdown,
     cx: &Context,
 ) {
     loop {
         match listener.accept().await {
-            Ok((tcp, _peer)) => spawn_connection(tcp, service, connections, cx),
+            Ok((tcp, _peer)) => {
+                let connection = Connection {
+                    service: service.clone(),
+                    messages: messages.clone(),
+                };
+                spawn_connection(tcp, connection, connections, cx);
+            }
             Err(e) => {
                 warn!(cx.log, "connection not accepted"; "error" => %e);
                 cx.timers.after(ACCEPT_RETRY_DELAY).await;
@@ -129,7 +138,7 @@
 
 fn spawn_connection(
     tcp: TcpStream,
-    service: &Service,
+    connection: Connection,
     connections: &GracefulShutdown,
     cx: &Context,
 ) {
@@ -148,10 +157,10 @@
         .timer(TokioTimer::new())
         .max_concurrent_streams(MAX_HTTP2_STREAMS)
         .max_header_list_size(u32::try_from(MAX_HEADER_BYTES).unwrap_or(u32::MAX));
-    let service = service.clone();
+    let connection = Arc::new(connection);
     let handler = service_fn(move |req| {
-        let service = service.clone();
-        async move { Ok::<_, std::convert::Infallible>(handler::handle(&service, req).await) }
+        let connection = Arc::clone(&connection);
+        async move { Ok::<_, Infallible>(handler::handle(&connection, req).await) }
     });
     let connection = builder
         .serve_connection(TokioIo::new(tcp), handler)
--- a/crates/eelgrassramp/src/sidecar/serve/handler.rs
+++ b/crates/eelgrassramp/src/sidecar/serve/handler.rs
@@ -6,9 +6,6 @@
 use http::Method;
 use http::Request;
 use http::Response;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
 
@@ -16,6 +13,8 @@
 use crate::error::Kind;
 use crate::error::Ran;
 use crate::error::Result;
+use crate::request_body::RequestBodies;
+use crate::request_body::RequestBody;
 use crate::wire;
 use crate::wire::path;
 
@@ -26,11 +25,20 @@
 /// Maximum time for the body of a request to arrive completely.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// What the requests on one connection have in common.
+#[derive(Debug)]
+pub(super) struct Connection {
+    pub(super) service: Service,
+    /// The messages that are received on all connections.
+    pub(super) messages: RequestBodies,
+}
+
 /// Handles one HTTP request.
-pub(super) async fn handle(service: &Service, req: Request<Incoming>) -> Response<Body> {
-    match route(service, req).await {
+pub(super) async fn handle(connection: &Connection, req: Request<Incoming>) -> Response<Body> {
+    match route(connection, req).await {
         Ok(resp) => resp,
         Err(e) => {
+            let service = &connection.service;
             service.shared.count("sidecar.refused", e.kind().as_str());
             let detail = e.detail().to_owned();
             http_response::failure(&service.shared.failure(e.kind(), Ran::No, detail))
@@ -38,12 +46,13 @@
     }
 }
 
-async fn route(service: &Service, req: Request<Incoming>) -> Result<Response<Body>> {
+async fn route(connection: &Connection, req: Request<Incoming>) -> Result<Response<Body>> {
+    let service = &connection.service;
     let path = req.uri().path().to_owned();
     if req.method() == Method::GET {
         return get(service, &path).await;
     }
-    let body = read_body(service, req).await?;
+    let body = connection.read_body(req).await?;
     Ok(match path.as_str() {
         path::DISPATCH => http_response::frames(service.dispatch(decode(&body)?).await),
         path::ATTACH => http_response::frames(service.attach(decode(&body)?).await),
@@ -78,19 +87,17 @@
     wire::from_bytes(body)
 }
 
-async fn read_body(service: &Service, req: Request<Incoming>) -> Result<Bytes> {
-    let body = Limited::new(req.into_body(), wire::MAX_MESSAGE_BYTES);
-    let timers = &service.shared.cx.timers;
-    let body = timers
-        .limit(BODY_TIMEOUT, body.collect())
-        .await
-        .ok_or_else(|| Error::new(Kind::RequestTimeout, "request body did not arrive in time"))?;
-    body.map(http_body_util::Collected::to_bytes).map_err(|e| {
-        let kind = if e.is::<LengthLimitError>() {
-            Kind::RequestTooLarge
-        } else {
-            Kind::Malformed
-        };
-        Error::with_source(kind, "read request body", e)
-    })
+impl Connection {
+    async fn read_body(&self, req: Request<Incoming>) -> Result<Bytes> {
+        let body = self.messages.read(req.into_body(), wire::MAX_MESSAGE_BYTES);
+        let timers = &self.service.shared.cx.timers;
+        let body = timers.limit(BODY_TIMEOUT, body).await.ok_or_else(|| {
+            Error::new(Kind::RequestTimeout, "request body did not arrive in time")
+        })?;
+        body.map(RequestBody::into_bytes)
+            .map_err(|e| match e.kind() {
+                Kind::BadRequest => Error::with_source(Kind::Malformed, "read request body", e),
+                _ => e,
+            })
+    }
 }
--- a/crates/programs/tests/crowd/main.rs
+++ b/crates/programs/tests/crowd/main.rs
@@ -124,3 +124,27 @@
         .await;
     verify_within_limits(&outcome)
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn large_messages_to_a_sidecar_that_stop_short() -> googletest::Result<()> {
+    let mut setup = start().await;
+    let outcome = setup
+        .run_crowd(Target::Sidecar, LARGE_CLIENTS, |_| {
+            upload("/v1/dispatch", LARGEST, MAX_BODY_BYTES - MISSING_BYTES)
+        })
+        .await;
+    verify_within_limits(&outcome)
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn messages_to_a_sidecar_in_very_small_chunks() -> googletest::Result<()> {
+    let mut setup = start().await;
+    let outcome = setup
+        .run_crowd(Target::Sidecar, LARGE_CLIENTS, |_| {
+            upload("/v1/dispatch", Framing::Chunks(1), SMALL_CHUNKS_BYTES)
+        })
+        .await;
+    verify_within_limits(&outcome)
+}
