sidecar: connections have a maximum; the one that waits longest makes room

Callers saw: nothing at first; whoever reaches a sidecar's port takes its descriptors with connections on which nothing is sent, which stay for as long as the client likes. Entries then cannot connect, and the endpoint serves nobody.

Cause: the listener accepted without end, and a connection without a single byte has no time limit, as in the entry.

Ruled out: memory, which stayed at 12 MB.

Change: the connection table of the entries, with at most connections (4,096 by default). A connection is in use while a call on it is answered, also a stream. Why it works: connections of entries carry calls, silent ones have waited longest.

--- a/crates/eelgrassramp/src/sidecar/serve.rs
+++ b/crates/eelgrassramp/src/sidecar/serve.rs
@@ -19,6 +19,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use crate::connection_table::ConnectionTable;
 use crate::engine::Engine;
 use crate::engine::HttpEngine;
 use crate::error::Error;
@@ -74,10 +75,11 @@
     info!(cx.log, "sidecar serves";
         "endpoint" => %settings.endpoint, "pool" => %settings.pool, "listen" => %settings.listen);
     let messages = RequestBodies::new(settings.message_bytes);
+    let table = ConnectionTable::new(settings.connections);
     let service = Service::start(settings, engine, store, cx.clone());
     let connections = GracefulShutdown::new();
     tokio::select! {
-        () = accept_connections(&listener, &service, &messages, &connections, &cx) => {}
+        () = accept_connections(&listener, &service, &messages, &table, &connections, &cx) => {}
         () = drain(&service, &cx) => {}
     }
     // New connections are accepted until here, since entries reattach on new connections.
@@ -116,15 +118,21 @@
     listener: &TcpListener,
     service: &Service,
     messages: &RequestBodies,
+    table: &Arc<ConnectionTable>,
     connections: &GracefulShutdown,
     cx: &Context,
 ) {
     loop {
         match listener.accept().await {
             Ok((tcp, _peer)) => {
+                let Some(open) = table.open(cx.timers.now()) else {
+                    warn!(cx.log, "connection closed, all others are in use"; "max" => table.max());
+                    continue;
+                };
                 let connection = Connection {
                     service: service.clone(),
                     messages: messages.clone(),
+                    open,
                 };
                 spawn_connection(tcp, connection, connections, cx);
             }
@@ -157,9 +165,10 @@
         .timer(TokioTimer::new())
         .max_concurrent_streams(MAX_HTTP2_STREAMS)
         .max_header_list_size(u32::try_from(MAX_HEADER_BYTES).unwrap_or(u32::MAX));
-    let connection = Arc::new(connection);
+    let shared = Arc::new(connection);
+    let requests = Arc::clone(&shared);
     let handler = service_fn(move |req| {
-        let connection = Arc::clone(&connection);
+        let connection = Arc::clone(&requests);
         async move { Ok::<_, Infallible>(handler::handle(&connection, req).await) }
     });
     let connection = builder
@@ -168,8 +177,13 @@
     let connection = connections.watch(connection);
     let log = cx.log.clone();
     tokio::spawn(async move {
-        if let Err(e) = connection.await {
-            debug!(log, "connection ended"; "error" => %e);
+        tokio::select! {
+            ended = connection => {
+                if let Err(e) = ended {
+                    debug!(log, "connection ended"; "error" => %e);
+                }
+            }
+            () = shared.open.closed() => debug!(log, "connection closed, there are too many"),
         }
     });
 }
--- a/crates/eelgrassramp/src/sidecar/serve/handler.rs
+++ b/crates/eelgrassramp/src/sidecar/serve/handler.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
 
+use crate::connection_table::OpenConnection;
 use crate::error::Error;
 use crate::error::Kind;
 use crate::error::Ran;
@@ -31,6 +32,7 @@
     pub(super) service: Service,
     /// The messages that are received on all connections.
     pub(super) messages: RequestBodies,
+    pub(super) open: OpenConnection,
 }
 
 /// Handles one HTTP request.
@@ -48,26 +50,34 @@
 
 async fn route(connection: &Connection, req: Request<Incoming>) -> Result<Response<Body>> {
     let service = &connection.service;
+    let timers = &service.shared.cx.timers;
+    connection.open.wait_from(timers.now());
     let path = req.uri().path().to_owned();
     if req.method() == Method::GET {
         return get(service, &path).await;
     }
     let body = connection.read_body(req).await?;
-    Ok(match path.as_str() {
-        path::DISPATCH => http_response::frames(service.dispatch(decode(&body)?).await),
-        path::ATTACH => http_response::frames(service.attach(decode(&body)?).await),
-        path::REVOKE => http_response::message(&service.revoke(decode(&body)?).await),
+    let served = connection.open.begin_request(timers);
+    let resp = call(service, &path, &body).await?;
+    Ok(http_response::while_held(resp, served))
+}
+
+async fn call(service: &Service, path: &str, body: &Bytes) -> Result<Response<Body>> {
+    Ok(match path {
+        path::DISPATCH => http_response::frames(service.dispatch(decode(body)?).await),
+        path::ATTACH => http_response::frames(service.attach(decode(body)?).await),
+        path::REVOKE => http_response::message(&service.revoke(decode(body)?).await),
         path::CANCEL => {
-            service.cancel(decode(&body)?).await;
+            service.cancel(decode(body)?).await;
             http_response::message(&())
         }
-        path::REPORT => http_response::message(&service.report(decode(&body)?).await),
+        path::REPORT => http_response::message(&service.report(decode(body)?).await),
         path::TABLES => {
-            service.push_tables(decode(&body)?).await?;
+            service.push_tables(decode(body)?).await?;
             http_response::message(&())
         }
-        path::KEY => http_response::message(&service.close_key(decode(&body)?).await),
-        path::ORDER => http_response::message(&service.order(decode(&body)?).await),
+        path::KEY => http_response::message(&service.close_key(decode(body)?).await),
+        path::ORDER => http_response::message(&service.order(decode(body)?).await),
         _ => http_response::not_found(),
     })
 }
--- a/crates/eelgrassramp/src/sidecar/serve/http_response.rs
+++ b/crates/eelgrassramp/src/sidecar/serve/http_response.rs
@@ -44,6 +44,17 @@
     resp
 }
 
+/// Returns a response that holds `held` until its body was sent.
+pub(super) fn while_held<T: Send + 'static>(resp: Response<Body>, held: T) -> Response<Body> {
+    resp.map(|body| {
+        let body = body.map_frame(move |frame| {
+            let _held = &held;
+            frame
+        });
+        body.boxed_unsync()
+    })
+}
+
 /// Returns the response to a call that failed without any effect.
 pub(super) fn failure(failure: &wire::Failure) -> Response<Body> {
     let status = failure.kind.answer().status;
--- a/crates/eelgrassramp/src/sidecar/settings.rs
+++ b/crates/eelgrassramp/src/sidecar/settings.rs
@@ -86,6 +86,9 @@
     /// Maximum total size of finished responses retained for entries that reattach, in bytes.
     #[serde(default = "default::replay_bytes")]
     pub replay_bytes: usize,
+    /// Maximum number of connections of entries.
+    #[serde(default = "default::connections")]
+    pub connections: usize,
     /// Maximum total size of the messages of entries that are received or in use, in bytes.
     #[serde(default = "default::message_bytes")]
     pub message_bytes: usize,
@@ -126,6 +129,10 @@
         16 * 1024 * 1024
     }
 
+    pub(super) const fn connections() -> usize {
+        4_096
+    }
+
     pub(super) const fn message_bytes() -> usize {
         48 * 1024 * 1024
     }
--- a/crates/programs/tests/crowd/fixture.rs
+++ b/crates/programs/tests/crowd/fixture.rs
@@ -41,7 +41,7 @@
 /// Memory of the VM.
 const MEMORY_BYTES: u64 = 128_000_000;
 
-/// Connections that the settings of the entry allow.
+/// Connections that the settings of the entry and the sidecar allow.
 pub const MAX_CONNECTIONS: usize = 250;
 
 /// Sockets that each process may have open: those to its clients, to other processes and to the platform.
@@ -105,7 +105,7 @@
         json!({
             "listen": addr, "endpoint": "plain-1", "pool": "plain", "version": "v1",
             "kind": "service", "engine": endpoint, "domain": "a", "hardware": "plain", "slots": 8,
-            "store": store,
+            "store": store, "connections": MAX_CONNECTIONS,
         })
     });
     write_tables(store, sidecar.addr, timers).await;
--- a/crates/programs/tests/crowd/main.rs
+++ b/crates/programs/tests/crowd/main.rs
@@ -148,3 +148,15 @@
         .await;
     verify_within_limits(&outcome)
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connections_to_a_sidecar_on_which_nothing_is_sent() -> googletest::Result<()> {
+    let mut setup = start().await;
+    let outcome = setup
+        .run_crowd(Target::Sidecar, MANY_CLIENTS, |_| {
+            upload("/v1/dispatch", Framing::Silence, 0)
+        })
+        .await;
+    verify_within_limits(&outcome)
+}
