A single body that the tables allow finds room on a small VM

Callers saw: where the tables allow bodies of more than three tenths of the process's memory, a request with such a body is refused with 503 each time, also in calm.

Cause: the bound on all bodies was a share of the memory that did not ask how large one of them may be.

Ruled out: crowds; the request of the test is the only one.

Evidence: tests/crowd, a_single_body_of_a_large_legal_size, limits.memoryMb=40, maxBodyBytes of 16 MiB: not answered within 40 s before; answered after, at a peak of 24.5 MB of 40 allowed.

Change: the bound rises to the largest body allowed, up to half of the memory (BodyLimits). Why it works: what remains holds the connections and the state, as the bounds of tests/crowd show for what the process needs.

--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -151,9 +151,9 @@
             tables_received: Notify::new(),
             endpoints: ArcSwap::default(),
             connections: ConnectionPool::new(cx),
-            request_bodies: RequestBodies::new(process_limits.caller_body_bytes()),
+            request_bodies: RequestBodies::new(process_limits.caller_bodies()),
             callers: ConnectionTable::new(process_limits.caller_connections()),
-            peer_messages: RequestBodies::new(process_limits.peer_message_bytes()),
+            peer_messages: RequestBodies::new(process_limits.peer_messages()),
             peers: ConnectionTable::new(process_limits.peer_connections()),
             metrics,
             log_limiter: LogRateLimiter::default(),
@@ -206,11 +206,9 @@
     /// Sets what the process may use, from which the space for the bodies of requests and the maximum number
     /// of connections follow.
     pub fn set_process_limits(&self, limits: ProcessLimits) {
-        self.request_bodies
-            .set_max_bytes(limits.caller_body_bytes());
+        self.request_bodies.set_limits(limits.caller_bodies());
         self.callers.set_max(limits.caller_connections());
-        self.peer_messages
-            .set_max_bytes(limits.peer_message_bytes());
+        self.peer_messages.set_limits(limits.peer_messages());
         self.peers.set_max(limits.peer_connections());
     }
 
--- a/crates/direct/src/process_limits.rs
+++ b/crates/direct/src/process_limits.rs
@@ -1,5 +1,7 @@
 //! What the platform allows the process to use, and how it is divided.
 
+use eelgrassramp::request_body::BodyLimits;
+
 /// Sockets of a process whose settings name no maximum.
 const DEFAULT_SOCKETS: usize = 4_000;
 
@@ -18,6 +20,9 @@
 /// The rest is for connections, responses and state.
 const CALLER_BODY_PERCENT: usize = 30;
 
+/// Percentage of the memory that they may take where the tables allow a body of more than that.
+const LARGE_CALLER_BODY_PERCENT: usize = 50;
+
 /// Percentage of the memory that messages of other entries may take together while they are received.
 const PEER_MESSAGE_PERCENT: usize = 10;
 
@@ -54,16 +59,20 @@
         (self.sockets() * PEER_SOCKET_PERCENT / 100).max(1)
     }
 
-    /// Returns the maximum size of all bodies of callers' requests together.
+    /// Returns the limits on all bodies of callers' requests together.
     #[must_use]
-    pub fn caller_body_bytes(self) -> usize {
-        self.memory_bytes() / 100 * CALLER_BODY_PERCENT
+    pub fn caller_bodies(self) -> BodyLimits {
+        let percent = self.memory_bytes() / 100;
+        BodyLimits {
+            max_bytes: percent * CALLER_BODY_PERCENT,
+            max_bytes_of_large: percent * LARGE_CALLER_BODY_PERCENT,
+        }
     }
 
-    /// Returns the maximum size of all messages of other entries together, while they are received.
+    /// Returns the limits on all messages of other entries together, while they are received.
     #[must_use]
-    pub fn peer_message_bytes(self) -> usize {
-        self.memory_bytes() / 100 * PEER_MESSAGE_PERCENT
+    pub fn peer_messages(self) -> BodyLimits {
+        BodyLimits::fixed(self.memory_bytes() / 100 * PEER_MESSAGE_PERCENT)
     }
 
     fn sockets(self) -> usize {
--- a/crates/eelgrassramp/src/entry/serve.rs
+++ b/crates/eelgrassramp/src/entry/serve.rs
@@ -34,6 +34,7 @@
 use crate::listener;
 use crate::membership::MembershipTracker;
 use crate::process::Context;
+use crate::request_body::BodyLimits;
 use crate::request_body::RequestBodies;
 use crate::rollout;
 use crate::store::HttpObjectApi;
@@ -116,7 +117,7 @@
         cx: cx.clone(),
         limits: settings.limits,
         connections: ConnectionTable::new(settings.limits.connections),
-        bodies: RequestBodies::new(settings.limits.body_bytes),
+        bodies: RequestBodies::new(BodyLimits::fixed(settings.limits.body_bytes)),
         drain_token: drain_token.clone(),
         tracker: TaskTracker::new(),
     };
--- a/crates/eelgrassramp/src/request_body.rs
+++ b/crates/eelgrassramp/src/request_body.rs
@@ -7,6 +7,7 @@
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::task::Context;
@@ -15,6 +16,7 @@
 use crate::error::Error;
 use crate::error::Kind;
 use crate::error::Result;
+use crate::sync::lock;
 use bytes::Bytes;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
@@ -39,11 +41,20 @@
     budget: Arc<Budget>,
 }
 
+/// How much the bodies of one listener may take together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BodyLimits {
+    /// Maximum size of all bodies together.
+    pub max_bytes: usize,
+    /// Maximum size of all bodies together where the largest body allowed is larger than `max_bytes`.
+    pub max_bytes_of_large: usize,
+}
+
 /// Size of all bodies together, and its maximum.
 #[derive(Debug)]
 struct Budget {
     total_bytes: AtomicUsize,
-    max_bytes: AtomicUsize,
+    limits: Mutex<BodyLimits>,
 }
 
 /// The whole body of one request.
@@ -58,24 +69,50 @@
 pub struct Reservation {
     budget: Arc<Budget>,
     bytes: usize,
+    /// The largest body that may be reserved.
+    largest_bytes: usize,
+}
+
+impl BodyLimits {
+    /// Creates limits that do not depend on the largest body allowed.
+    #[must_use]
+    pub const fn fixed(max_bytes: usize) -> Self {
+        Self {
+            max_bytes,
+            max_bytes_of_large: max_bytes,
+        }
+    }
+
+    /// Returns the maximum size of all bodies together, of which one may have `largest_bytes`.
+    const fn max_bytes_with(self, largest_bytes: usize) -> usize {
+        let needed_bytes = largest_bytes.saturating_add(MAX_BLOCK_BYTES);
+        if needed_bytes <= self.max_bytes {
+            return self.max_bytes;
+        }
+        if needed_bytes < self.max_bytes_of_large {
+            needed_bytes
+        } else {
+            self.max_bytes_of_large
+        }
+    }
 }
 
 impl RequestBodies {
-    /// Creates a budget of `max_bytes` for all bodies together.
+    /// Creates a budget for all bodies together.
     #[must_use]
-    pub fn new(max_bytes: usize) -> Self {
+    pub fn new(limits: BodyLimits) -> Self {
         let budget = Budget {
             total_bytes: AtomicUsize::new(0),
-            max_bytes: AtomicUsize::new(max_bytes),
+            limits: Mutex::new(limits),
         };
         Self {
             budget: Arc::new(budget),
         }
     }
 
-    /// Sets the maximum size of all bodies together.
-    pub fn set_max_bytes(&self, max_bytes: usize) {
-        self.budget.max_bytes.store(max_bytes, Ordering::Relaxed);
+    /// Replaces the limits on all bodies together.
+    pub fn set_limits(&self, limits: BodyLimits) {
+        *lock(&self.budget.limits) = limits;
     }
 
     /// Returns the size of all bodies together.
@@ -87,7 +124,7 @@
     /// Returns the maximum size of all bodies together.
     #[must_use]
     pub fn max_bytes(&self) -> usize {
-        self.budget.max_bytes.load(Ordering::Relaxed)
+        lock(&self.budget.limits).max_bytes
     }
 
     /// Reads a body of at most `max_bytes`.
@@ -97,7 +134,7 @@
     /// Returns [`Kind::RequestTooLarge`] when it is larger, [`Kind::Overloaded`] when the bodies of all
     /// requests are too large together, and [`Kind::BadRequest`] when it cannot be read.
     pub async fn read(&self, body: Incoming, max_bytes: usize) -> Result<RequestBody> {
-        let mut buf = BodyBuffer::new(declared_bytes(&body), self.reserve_nothing());
+        let mut buf = BodyBuffer::new(declared_bytes(&body), self.reserve(max_bytes));
         let mut body = Limited::new(body, max_bytes);
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|e| match e.downcast_ref::<LengthLimitError>() {
@@ -114,12 +151,18 @@
         Ok(buf.freeze())
     }
 
-    /// Returns a reservation that can be extended.
+    /// Returns a reservation of nothing, which can be extended.
     #[must_use]
     pub fn reserve_nothing(&self) -> Reservation {
+        self.reserve(0)
+    }
+
+    /// Returns a reservation of nothing, which can be extended to `largest_bytes`.
+    fn reserve(&self, largest_bytes: usize) -> Reservation {
         Reservation {
             budget: Arc::clone(&self.budget),
             bytes: 0,
+            largest_bytes,
         }
     }
 }
@@ -296,7 +339,7 @@
     pub fn extend(&mut self, n: usize) -> Result<()> {
         let total = self.budget.total_bytes.fetch_add(n, Ordering::Relaxed) + n;
         self.bytes += n;
-        let max_bytes = self.budget.max_bytes.load(Ordering::Relaxed);
+        let max_bytes = lock(&self.budget.limits).max_bytes_with(self.largest_bytes);
         if total <= max_bytes {
             return Ok(());
         }
--- a/crates/eelgrassramp/src/sidecar/serve.rs
+++ b/crates/eelgrassramp/src/sidecar/serve.rs
@@ -27,6 +27,7 @@
 use crate::error::Result;
 use crate::listener;
 use crate::process::Context;
+use crate::request_body::BodyLimits;
 use crate::request_body::RequestBodies;
 use crate::store::HttpObjectApi;
 use crate::store::HttpSettings;
@@ -74,7 +75,7 @@
     let drain_timeout = settings.drain_timeout();
     info!(cx.log, "sidecar serves";
         "endpoint" => %settings.endpoint, "pool" => %settings.pool, "listen" => %settings.listen);
-    let messages = RequestBodies::new(settings.message_bytes);
+    let messages = RequestBodies::new(BodyLimits::fixed(settings.message_bytes));
     let table = ConnectionTable::new(settings.connections);
     let service = Service::start(settings, engine, store, cx.clone());
     let connections = GracefulShutdown::new();
