A body announced over the limit is refused before it is sent

Callers saw: whoever announces a body over maxBodyBytes and stops before that many bytes is answered 408 after the time limit, and holds memory and a connection until then; one that sends all of it is answered after the limit.

Cause: the announced length was not compared with the limit, only what had arrived.

Evidence: a_body_that_is_announced_as_too_large_is_refused_before_it_is_sent: 408 before (after 3 s), 413 after. Ruled out: the deployment with sidecars, which compared them; that check moved to where both read bodies.

--- a/crates/eelgrassramp/src/entry/http.rs
+++ b/crates/eelgrassramp/src/entry/http.rs
@@ -10,7 +10,6 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
@@ -86,9 +85,6 @@
     async fn read_request(&self, req: Request<Incoming>) -> Result<CallerRequest> {
         let max_body_bytes = self.service.max_body_bytes(req.uri().path())?;
         let (parts, body) = req.into_parts();
-        if body.size_hint().lower() > crate::num::count(max_body_bytes) {
-            return Err(too_large_error(max_body_bytes));
-        }
         let limit = self.receive_timeout;
         let body = self
             .timers
@@ -112,13 +108,6 @@
     }
 }
 
-fn too_large_error(max_body_bytes: usize) -> Error {
-    Error::new(
-        Kind::RequestTooLarge,
-        format!("body exceeds {max_body_bytes} bytes"),
-    )
-}
-
 /// Converts a response, whose connection is in use by `served` until its body was sent.
 fn to_response(response: CallerResponse, served: Option<ServedRequest>) -> Response<HttpBody> {
     let CallerResponse { head, body } = response;
--- a/crates/eelgrassramp/src/request_body.rs
+++ b/crates/eelgrassramp/src/request_body.rs
@@ -134,14 +134,15 @@
     /// Returns [`Kind::RequestTooLarge`] when it is larger, [`Kind::Overloaded`] when the bodies of all
     /// requests are too large together, and [`Kind::BadRequest`] when it cannot be read.
     pub async fn read(&self, body: Incoming, max_bytes: usize) -> Result<RequestBody> {
-        let mut buf = BodyBuffer::new(declared_bytes(&body), self.reserve(max_bytes));
+        let declared_bytes = declared_bytes(&body);
+        if declared_bytes.is_some_and(|bytes| bytes > max_bytes) {
+            return Err(too_large_error(max_bytes));
+        }
+        let mut buf = BodyBuffer::new(declared_bytes, self.reserve(max_bytes));
         let mut body = Limited::new(body, max_bytes);
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|e| match e.downcast_ref::<LengthLimitError>() {
-                Some(_) => Error::new(
-                    Kind::RequestTooLarge,
-                    format!("request body exceeds {max_bytes} bytes"),
-                ),
+                Some(_) => too_large_error(max_bytes),
                 None => Error::with_source(Kind::BadRequest, "request body could not be read", e),
             })?;
             if let Ok(data) = frame.into_data() {
@@ -167,6 +168,11 @@
     }
 }
 
+fn too_large_error(max_bytes: usize) -> Error {
+    let detail = format!("request body exceeds {max_bytes} bytes");
+    Error::new(Kind::RequestTooLarge, detail)
+}
+
 /// Returns the length of a body that names one.
 fn declared_bytes(body: &Incoming) -> Option<usize> {
     let bytes = body.size_hint().exact()?;
