--- a/crates/eelgrassramp/src/connection_table.rs
+++ b/crates/eelgrassramp/src/connection_table.rs
@@ -11,10 +11,11 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
+use tokio_util::sync::CancellationToken;
+
 use crate::sync::lock;
 use crate::time::Monotonic;
 use crate::time::Timers;
-use tokio_util::sync::CancellationToken;
 
 /// The open connections of one listener.
 #[derive(Debug)]
@@ -31,13 +32,13 @@
 
 #[derive(Debug)]
 struct Connection {
-    usage: Mutex<ClientUsage>,
+    state: Mutex<ConnectionState>,
     close: CancellationToken,
 }
 
 /// Who waits for whom on a connection.
 #[derive(Debug)]
-struct ClientUsage {
+struct ConnectionState {
     /// Requests whose client waits for the response.
     requests: usize,
     /// Since when the connection waits for its client, if there are none of these.
@@ -46,8 +47,8 @@
 
 impl Connection {
     fn waits_since(&self) -> Option<Monotonic> {
-        let usage = lock(&self.usage);
-        (usage.requests == 0).then_some(usage.waits_since)
+        let state = lock(&self.state);
+        (state.requests == 0).then_some(state.waits_since)
     }
 }
 
@@ -104,12 +105,12 @@
         }
         let id = open.next_id;
         open.next_id += 1;
-        let usage = ClientUsage {
+        let state = ConnectionState {
             requests: 0,
             waits_since: now,
         };
         let connection = Arc::new(Connection {
-            usage: Mutex::new(usage),
+            state: Mutex::new(state),
             close: CancellationToken::new(),
         });
         open.connections.insert(id, Arc::clone(&connection));
@@ -139,13 +140,13 @@
 impl OpenConnection {
     /// Records that the client has sent something, or was answered, and is waited for from `now`.
     pub fn wait_from(&self, now: Monotonic) {
-        lock(&self.connection.usage).waits_since = now;
+        lock(&self.connection.state).waits_since = now;
     }
 
     /// Records that the client has sent a request and waits for its response, until that is dropped.
     #[must_use]
     pub fn begin_request(&self, timers: &Timers) -> ServedRequest {
-        lock(&self.connection.usage).requests += 1;
+        lock(&self.connection.state).requests += 1;
         ServedRequest {
             connection: Arc::clone(&self.connection),
             timers: timers.clone(),
@@ -160,9 +161,9 @@
 
 impl Drop for ServedRequest {
     fn drop(&mut self) {
-        let mut usage = lock(&self.connection.usage);
-        usage.requests -= 1;
-        usage.waits_since = self.timers.now();
+        let mut state = lock(&self.connection.state);
+        state.requests -= 1;
+        state.waits_since = self.timers.now();
     }
 }
 
--- a/crates/eelgrassramp/src/listener.rs
+++ b/crates/eelgrassramp/src/listener.rs
@@ -2,11 +2,12 @@
 
 use std::net::SocketAddr;
 
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+
 use crate::error::Error;
 use crate::error::Kind;
 use crate::error::Result;
-use tokio::net::TcpListener;
-use tokio::net::TcpSocket;
 
 /// Receive buffer of each accepted connection in bytes.
 ///
--- a/crates/programs/tests/crowd/fixture.rs
+++ b/crates/programs/tests/crowd/fixture.rs
@@ -14,48 +14,39 @@
 use eelgrassramp::store::ObjectApi;
 use eelgrassramp::tables;
 use eelgrassramp::tables::Document;
+use eelgrassramp_standins::crowd::Bounds;
 use eelgrassramp_standins::crowd::Crowd;
 use eelgrassramp_standins::crowd::Framing;
+use eelgrassramp_standins::crowd::OrdinaryCaller;
+use eelgrassramp_standins::crowd::Trial;
 use eelgrassramp_standins::crowd::Upload;
-use eelgrassramp_standins::crowd::Usage;
-use eelgrassramp_standins::crowd::UsageWatch;
 use eelgrassramp_standins::http::Handler;
 use eelgrassramp_standins::http::serve;
 use eelgrassramp_standins::platform::Platform;
 use eelgrassramp_standins::platform::Settings as PlatformSettings;
 use eelgrassramp_standins::service::ChargeService;
 use eelgrassramp_standins::service::Settings as ServiceSettings;
-use googletest::prelude::*;
 use serde_json::Value;
 use serde_json::json;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use tokio::process::Child;
 use tokio::process::Command;
 use tokio::sync::Mutex;
 use tokio::sync::MutexGuard;
-use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
+use tokio_util::sync::DropGuard;
 
-/// Memory of the VM.
-const MEMORY_BYTES: u64 = 128_000_000;
+/// What the VM allows each process.
+const BOUNDS: Bounds = Bounds {
+    memory_bytes: 128_000_000,
+    sockets: 300,
+};
 
 /// Connections that the settings of the entry and the sidecar allow.
 pub const MAX_CONNECTIONS: usize = 250;
 
-/// Sockets that each process may have open: those to its clients, to other processes and to the platform.
-const MAX_SOCKETS: usize = 300;
-
 /// Largest body that the tables allow.
 pub const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
 
-/// Time after which a test gives up on an answer.
-const WAIT_TIMEOUT: Duration = Duration::from_secs(40);
-
-/// Pause before an ordinary caller that was refused returns.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
-
 /// Held by the test that runs: each has the machine for itself.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
 
@@ -70,7 +61,7 @@
 pub struct TestSetup {
     pub entry: Process,
     pub sidecar: Process,
-    _stop: tokio_util::sync::DropGuard,
+    _stop: DropGuard,
     _turn: MutexGuard<'static, ()>,
 }
 
@@ -81,17 +72,6 @@
     Sidecar,
 }
 
-/// What remains of the process after a crowd.
-#[derive(Debug)]
-pub struct Outcome {
-    pub is_alive: bool,
-    pub peak: Usage,
-    /// Whether an ordinary request was answered while the clients of the crowd stayed connected.
-    pub is_ordinary_request_served: bool,
-    /// Whether a request of the largest size was answered after they had gone.
-    pub is_largest_request_served: bool,
-}
-
 /// Starts the system and waits until it serves.
 pub async fn start() -> TestSetup {
     let turn = ONE_AT_A_TIME.lock().await;
@@ -121,7 +101,10 @@
         _stop: stop.drop_guard(),
         _turn: turn,
     };
-    assert!(setup.is_served(0).await, "the system serves in calm");
+    assert!(
+        setup.caller().is_served(0).await,
+        "the system serves in calm"
+    );
     setup
 }
 
@@ -188,76 +171,47 @@
 }
 
 impl TestSetup {
-    /// Lets a crowd send to one of the processes, and ordinary callers beside it and after it.
+    /// Lets a crowd send to one of the processes; returns what is wrong with it then.
     pub async fn run_crowd(
         &mut self,
         target: Target,
         count: usize,
         upload: impl Fn(usize) -> Upload,
-    ) -> Outcome {
+    ) -> Vec<String> {
         self.run(target, |addr| Crowd::send(addr, count, upload))
             .await
     }
 
-    /// Lets a crowd, which stays connected until it is dropped, send to one of the processes.
+    /// Lets a crowd, which stays connected until it is dropped, send to one of the processes; returns what is
+    /// wrong with it then.
     pub async fn run<C, F: Future<Output = C>>(
         &mut self,
         target: Target,
         send: impl FnOnce(SocketAddr) -> F,
-    ) -> Outcome {
-        let process = self.process(target);
-        let (pid, addr) = (process.child.id().expect("the process runs"), process.addr);
-        let watch = UsageWatch::start(pid, &[addr]);
-        let crowd = send(addr).await;
-        watch.wait_until_read().await;
-        let is_ordinary_request_served = self.is_served(0).await;
-        drop(crowd);
-        let is_largest_request_served = self.is_served(MAX_BODY_BYTES).await;
-        let ended = self.process(target).child.try_wait();
-        let outcome = Outcome {
-            is_alive: ended.expect("the state can be read").is_none(),
-            peak: watch.peak(),
-            is_ordinary_request_served,
-            is_largest_request_served,
-        };
-        println!("{outcome:?}");
-        outcome
-    }
-
-    const fn process(&mut self, target: Target) -> &mut Process {
-        match target {
+    ) -> Vec<String> {
+        let caller = self.caller();
+        let process = match target {
             Target::Entry => &mut self.entry,
             Target::Sidecar => &mut self.sidecar,
-        }
+        };
+        let trial = Trial {
+            pid: process.child.id().expect("the process runs"),
+            listeners: vec![process.addr],
+            caller,
+            max_body_bytes: MAX_BODY_BYTES,
+        };
+        let outcome = trial.run(send(process.addr)).await;
+        let mut violations = outcome.violations(BOUNDS);
+        let ended = process.child.try_wait().expect("the state can be read");
+        violations.extend(ended.map(|status| format!("the process has ended: {status}")));
+        violations
     }
 
-    /// Sends requests with bodies of this size until one is answered.
-    async fn is_served(&self, body_bytes: usize) -> bool {
-        let until = Instant::now() + WAIT_TIMEOUT;
-        while Instant::now() < until {
-            let answer = tokio::time::timeout_at(until, self.send_request(body_bytes)).await;
-            if answer.is_ok_and(|answer| answer.contains(" 200 ")) {
-                return true;
-            }
-            tokio::time::sleep(RETRY_PAUSE).await;
+    fn caller(&self) -> OrdinaryCaller {
+        OrdinaryCaller {
+            entry: self.entry.addr,
+            head: request_head("/status"),
         }
-        false
-    }
-
-    /// Sends one request; returns the beginning of its answer.
-    async fn send_request(&self, body_bytes: usize) -> String {
-        let Ok(mut stream) = TcpStream::connect(self.entry.addr).await else {
-            return String::new();
-        };
-        let head = request_head("/status");
-        let head = format!("{head}content-length: {body_bytes}\r\nconnection: close\r\n\r\n");
-        let mut text = head.into_bytes();
-        text.resize(text.len() + body_bytes, b'x');
-        // An entry that refuses the request may close the connection before it has read the body.
-        let _sent = stream.write_all(&text).await;
-        let mut buf = vec![0; 4_096];
-        let n = stream.read(&mut buf).await.unwrap_or(0);
-        String::from_utf8_lossy(&buf[..n]).into_owned()
     }
 }
 
@@ -275,12 +229,3 @@
         pause: Duration::ZERO,
     }
 }
-
-/// Checks that the process lives within the limits of its VM, and that the system serves.
-pub fn verify_within_limits(outcome: &Outcome) -> googletest::Result<()> {
-    verify_that!(outcome.is_alive, eq(true))?;
-    verify_that!(outcome.peak.memory_bytes, lt(MEMORY_BYTES))?;
-    verify_that!(outcome.peak.sockets, lt(MAX_SOCKETS))?;
-    verify_that!(outcome.is_ordinary_request_served, eq(true))?;
-    verify_that!(outcome.is_largest_request_served, eq(true))
-}
--- a/crates/programs/tests/crowd/http2.rs
+++ b/crates/programs/tests/crowd/http2.rs
@@ -20,7 +20,6 @@
 
 use crate::fixture::Target;
 use crate::fixture::start;
-use crate::fixture::verify_within_limits;
 
 /// Connections of the crowd.
 const CONNECTIONS: usize = 100;
@@ -84,16 +83,20 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn streams_with_large_heads_that_do_not_end() -> googletest::Result<()> {
     let mut setup = start().await;
+
     let crowd = |addr| open_crowd(addr, "/status");
-    let outcome = setup.run(Target::Entry, crowd).await;
-    verify_within_limits(&outcome)
+    let violations = setup.run(Target::Entry, crowd).await;
+
+    verify_that!(violations, is_empty())
 }
 
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn streams_to_a_sidecar_with_large_heads_that_do_not_end() -> googletest::Result<()> {
     let mut setup = start().await;
+
     let crowd = |addr| open_crowd(addr, "/v1/dispatch");
-    let outcome = setup.run(Target::Sidecar, crowd).await;
-    verify_within_limits(&outcome)
+    let violations = setup.run(Target::Sidecar, crowd).await;
+
+    verify_that!(violations, is_empty())
 }
--- a/crates/standins/src/crowd.rs
+++ b/crates/standins/src/crowd.rs
@@ -1,5 +1,7 @@
 //! Clients that send large or endless requests at once and stay connected, and what they cost a process.
 
+mod ordinary_caller;
+mod trial;
 mod upload;
 mod usage;
 
@@ -9,6 +11,10 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
+pub use self::ordinary_caller::OrdinaryCaller;
+pub use self::trial::Bounds;
+pub use self::trial::Outcome;
+pub use self::trial::Trial;
 pub use self::upload::Framing;
 pub use self::upload::Upload;
 pub use self::usage::Usage;
@@ -20,7 +26,7 @@
 /// Clients that have sent what they were told, and neither read responses nor close their connections.
 #[derive(Debug)]
 pub struct Crowd {
-    connections: Vec<TcpStream>,
+    _connections: Vec<TcpStream>,
 }
 
 impl Crowd {
@@ -34,15 +40,9 @@
         }
         let connections = clients.join_all().await;
         Self {
-            connections: connections.into_iter().flatten().collect(),
+            _connections: connections.into_iter().flatten().collect(),
         }
     }
-
-    /// Returns how many clients were accepted; their connections may have been closed since.
-    #[must_use]
-    pub const fn connected(&self) -> usize {
-        self.connections.len()
-    }
 }
 
 /// Sends one request; returns the connection if there was one.
