entry, sidecar: the next connection is accepted when the one that makes room has closed

Callers saw: nothing yet; with many clients at once and a busy machine, an entry or a sidecar had more sockets than its maximum: 336 with 250 connections allowed and 300 sockets in the test.

Cause: a connection that has to make room is told to close, and its task does so when a thread gets to it. The listener, on another thread, went on accepting. In the entry without sidecars there is one thread, and the listener yields to it.

Ruled out: the count of the table, which takes out the connection that is told to close.

Change: the table counts connections that are closing, and the listener waits until there are none (wait_until_closed).

--- a/crates/eelgrassramp/src/connection_table.rs
+++ b/crates/eelgrassramp/src/connection_table.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::sync::lock;
@@ -22,12 +23,16 @@
 pub struct ConnectionTable {
     max: AtomicUsize,
     open: Mutex<Open>,
+    /// Woken when a connection that was told to close has closed.
+    closed: Notify,
 }
 
 #[derive(Debug, Default)]
 struct Open {
     next_id: u64,
     connections: BTreeMap<u64, Arc<Connection>>,
+    /// Connections that were told to close and still have their socket.
+    closing: usize,
 }
 
 #[derive(Debug)]
@@ -74,6 +79,7 @@
         Arc::new(Self {
             max: AtomicUsize::new(max),
             open: Mutex::default(),
+            closed: Notify::new(),
         })
     }
 
@@ -121,6 +127,20 @@
         })
     }
 
+    /// Waits until no connection that was told to close is open any more.
+    ///
+    /// A listener that accepts before that has more sockets than the maximum, if its connections are served by
+    /// other threads.
+    pub async fn wait_until_closed(&self) {
+        loop {
+            let closed = self.closed.notified();
+            if self.lock().closing == 0 {
+                return;
+            }
+            closed.await;
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Open> {
         lock(&self.open)
     }
@@ -132,6 +152,7 @@
         let waiting = waiting.filter_map(|(id, c)| Some((c.waits_since()?, *id)));
         let (_, id) = waiting.min()?;
         let closed = self.connections.remove(&id)?;
+        self.closing += 1;
         closed.close.cancel();
         Some(())
     }
@@ -169,6 +190,11 @@
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        self.table.lock().connections.remove(&self.id);
+        let mut open = self.table.lock();
+        if open.connections.remove(&self.id).is_none() {
+            open.closing -= 1;
+            drop(open);
+            self.table.closed.notify_one();
+        }
     }
 }
--- a/crates/eelgrassramp/src/entry/serve.rs
+++ b/crates/eelgrassramp/src/entry/serve.rs
@@ -161,7 +161,10 @@
                 () = acceptor.drain_token.cancelled() => return,
             };
             match accepted {
-                Ok((socket, _)) => acceptor.spawn_connection(socket),
+                Ok((socket, _)) => {
+                    acceptor.spawn_connection(socket);
+                    acceptor.connections.wait_until_closed().await;
+                }
                 Err(e) => {
                     warn!(acceptor.cx.log, "connection not accepted"; "error" => %e);
                     acceptor.cx.timers.after(ACCEPT_RETRY_DELAY).await;
--- a/crates/eelgrassramp/src/sidecar/serve.rs
+++ b/crates/eelgrassramp/src/sidecar/serve.rs
@@ -136,6 +136,7 @@
                     open,
                 };
                 spawn_connection(tcp, connection, connections, cx);
+                table.wait_until_closed().await;
             }
             Err(e) => {
                 warn!(cx.log, "connection not accepted"; "error" => %e);
--- a/crates/eelgrassramp/tests/connection_table.rs
+++ b/crates/eelgrassramp/tests/connection_table.rs
@@ -110,3 +110,19 @@
     expect_that!(refused, none());
     expect_that!(accepted, some(anything()));
 }
+
+/// Guards against a listener that is ahead of the connections which it told to close.
+#[gtest]
+#[tokio::test]
+async fn the_socket_of_a_closed_connection_is_waited_for() {
+    let table = ConnectionTable::new(1);
+    let closed = table.open(at(0)).expect("there is room");
+    let _next = table.open(at(1)).expect("the first one makes room");
+
+    let before = timeout(Duration::ZERO, table.wait_until_closed()).await;
+    drop(closed);
+    let after = timeout(Duration::ZERO, table.wait_until_closed()).await;
+
+    expect_that!(before, err(anything()));
+    expect_that!(after, ok(anything()));
+}
