direct: listeners wait for closing connections in the one way that there is

Found on a second reading. The three listeners of the entry without sidecars yielded once after each connection, so that one told to close would do so; entry and sidecar wait for exactly that (wait_until_closed). The yield relied on the order in which one thread runs its tasks, and was paid for every connection, also far below the maximum. They call the same function now, which returns at once when nothing closes. No bound and no test changed.

--- a/crates/direct/src/exchange/server.rs
+++ b/crates/direct/src/exchange/server.rs
@@ -67,8 +67,7 @@
             };
             if let Some(open) = self.entry.peers().open(self.entry.cx().timers.now()) {
                 tokio::spawn(Arc::clone(&self).serve_connection(stream, open));
-                // A connection that has to close does so before the next one is accepted.
-                tokio::task::yield_now().await;
+                self.entry.peers().wait_until_closed().await;
             }
         }
     }
--- a/crates/direct/src/server.rs
+++ b/crates/direct/src/server.rs
@@ -136,8 +136,7 @@
                 let connection_task =
                     serve_connection(Arc::clone(&entry), stream, open, drain.clone());
                 connection_tasks.spawn(connection_task);
-                // A connection that has to close does so before the next one is accepted.
-                tokio::task::yield_now().await;
+                entry.callers().wait_until_closed().await;
             }
             Err(e) => {
                 // Usually out of file descriptors, which are freed as requests end.
@@ -210,8 +209,7 @@
         };
         if let Some(open) = connections.open(entry.cx().timers.now()) {
             tokio::spawn(serve_page(Arc::clone(&entry), stream, open, page));
-            // A connection that has to close does so before the next one is accepted.
-            tokio::task::yield_now().await;
+            connections.wait_until_closed().await;
         }
     }
 }
--- a/crates/eelgrassramp/src/connection_table.rs
+++ b/crates/eelgrassramp/src/connection_table.rs
@@ -129,8 +129,8 @@
 
     /// Waits until no connection that was told to close is open any more.
     ///
-    /// A listener that accepts before that has more sockets than the maximum, if its connections are served by
-    /// other threads.
+    /// A listener that accepts before that has more sockets than the maximum, as connections are closed by their
+    /// own tasks.
     pub async fn wait_until_closed(&self) {
         loop {
             let closed = self.closed.notified();
