--- a/review/standins-3/cases/mod.rs
+++ b/review/standins-3/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases: each brings one disruption about and checks one rule.
 
 pub mod late_delete;
+pub mod slow_reader;
 
 use std::path::PathBuf;
 use std::sync::Arc;
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -67,6 +67,7 @@
     record.say(&format!("trouble: {}", setup.has_trouble));
     let outcome = match case {
         "late-delete" => cases::late_delete::run(&setup),
+        "slow-reader" => cases::slow_reader::run(&setup),
         _ => Outcome::CouldNotRun(format!("no case {case}")),
     };
     record.add(&format!("{outcome:?}"));
