--- a/review/standins-3/cases/late_delete.rs
+++ b/review/standins-3/cases/late_delete.rs
@@ -90,6 +90,7 @@
         events: 3,
         gap: Duration::from_millis(5),
         event_bytes: 45,
+        spoils_one_of: 0,
     };
     let zones = ["zone-a", "zone-b", "zone-c"];
     let replicas: Vec<_> = (0..6)
--- a/review/standins-3/cases/slow_reader.rs
+++ b/review/standins-3/cases/slow_reader.rs
@@ -2,7 +2,6 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::os::fd::FromRawFd;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -12,6 +11,7 @@
 use crate::http::{read_head, read_message};
 use crate::record::Record;
 use crate::replica::{Replica, Work, event_text};
+use crate::socket;
 use crate::store::Store;
 
 const CLIENTS: usize = 8;
@@ -54,6 +54,7 @@
         events: EVENTS,
         gap: Duration::from_millis(10),
         event_bytes: EVENT_BYTES,
+        spoils_one_of: 0,
     };
     let replicas: Vec<_> = (0..2)
         .map(|i| Replica::start(&format!("i-{i}"), "drafts", "zone-a", 5, work, record))
@@ -102,7 +103,7 @@
         output_tokens: 110,
         body_bytes: 600,
     };
-    let mut connection = BufReader::with_capacity(READ_BYTES, connect(addr)?);
+    let mut connection = BufReader::with_capacity(READ_BYTES, socket::connect_with_receive_buffer(addr, RECEIVE_BUFFER_BYTES)?);
     let first = next_id();
     connection.get_mut().write_all(&request.to_bytes(&first))?;
     let answer = read_message(&mut connection)?.ok_or(std::io::ErrorKind::UnexpectedEof)?;
@@ -191,45 +192,3 @@
         Outcome::Held
     }
 }
-
-/// Connects with a small receive buffer, which has to be set before the connection is opened.
-fn connect(addr: SocketAddr) -> std::io::Result<TcpStream> {
-    #[repr(C)]
-    struct SockaddrIn {
-        family: u16,
-        port: [u8; 2],
-        addr: [u8; 4],
-        zero: [u8; 8],
-    }
-    unsafe extern "C" {
-        fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
-        fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, len: u32) -> i32;
-        fn connect(fd: i32, addr: *const SockaddrIn, len: u32) -> i32;
-    }
-    const AF_INET: i32 = 2;
-    const SOCK_STREAM: i32 = 1;
-    const SOL_SOCKET: i32 = 1;
-    const SO_RCVBUF: i32 = 8;
-    let SocketAddr::V4(addr) = addr else {
-        return Err(std::io::ErrorKind::Unsupported.into());
-    };
-    let sockaddr = SockaddrIn {
-        family: AF_INET as u16,
-        port: addr.port().to_be_bytes(),
-        addr: addr.ip().octets(),
-        zero: [0; 8],
-    };
-    // SAFETY: the calls get a descriptor of this function and pointers to live values of the given sizes.
-    unsafe {
-        let fd = socket(AF_INET, SOCK_STREAM, 0);
-        if fd < 0 {
-            return Err(std::io::Error::last_os_error());
-        }
-        let stream = TcpStream::from_raw_fd(fd);
-        let set = setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &RECEIVE_BUFFER_BYTES, 4);
-        if set < 0 || connect(fd, &sockaddr, size_of::<SockaddrIn>() as u32) < 0 {
-            return Err(std::io::Error::last_os_error());
-        }
-        Ok(stream)
-    }
-}
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -6,8 +6,10 @@
 mod entry;
 mod http;
 mod json;
+mod proxy;
 mod record;
 mod replica;
+mod socket;
 mod store;
 
 use std::path::{Path, PathBuf};
@@ -66,7 +68,9 @@
     };
     record.say(&format!("trouble: {}", setup.has_trouble));
     let outcome = match case {
+        "broken-off" => cases::broken_off::run(&setup),
         "late-delete" => cases::late_delete::run(&setup),
+        "silent-watch" => cases::silent_watch::run(&setup),
         "slow-reader" => cases::slow_reader::run(&setup),
         _ => Outcome::CouldNotRun(format!("no case {case}")),
     };
--- a/review/standins-3/replica.rs
+++ b/review/standins-3/replica.rs
@@ -7,6 +7,7 @@
 
 use crate::http::{Message, read_message, write_message};
 use crate::record::Record;
+use crate::socket;
 
 /// How the replica answers.
 #[derive(Debug, Clone, Copy)]
@@ -19,6 +20,8 @@
     pub gap: Duration,
     /// Bytes of an event.
     pub event_bytes: usize,
+    /// Spoils one of so many answers; 0 spoils none.
+    pub spoils_one_of: usize,
 }
 
 /// A request that ran.
@@ -164,6 +167,9 @@
 
     fn write_answer(&self, request: &Message, id: &str, to: &mut TcpStream) -> std::io::Result<()> {
         std::thread::sleep(self.work.first);
+        if self.is_spoiled() {
+            return self.write_spoiled(id, to);
+        }
         let load = format!("{},0,{}", self.load.0.lock().unwrap().running, self.slots);
         let head = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: {}.{id}\r\n\
@@ -181,6 +187,25 @@
         to.write_all(b"0\r\n\r\n")
     }
 
+    fn is_spoiled(&self) -> bool {
+        let n = self.work.spoils_one_of;
+        n > 0 && self.runs.lock().unwrap().len().is_multiple_of(n)
+    }
+
+    /// Writes half of an answer without a length, as servers of HTTP/1.0 do, and resets the connection.
+    fn write_spoiled(&self, id: &str, to: &mut TcpStream) -> std::io::Result<()> {
+        self.record.add(&format!("replica {} breaks off its answer to {id}", self.id));
+        let text = event_text(1, self.work.event_bytes);
+        let half = &text[..text.len() / 2];
+        let seal = format!("{}.{id}", self.id);
+        let head = format!("HTTP/1.0 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: {seal}\r\n\r\n");
+        to.write_all((head + half).as_bytes())?;
+        // The bytes have arrived before the reset.
+        std::thread::sleep(Duration::from_millis(100));
+        socket::reset_on_close(to)?;
+        Err(std::io::ErrorKind::ConnectionReset.into())
+    }
+
     /// Waits for a slot; returns whether there was room in the queue.
     fn take_slot(&self) -> bool {
         let (load, freed) = &*self.load;
