--- a/review/standins-3/cases/broken_off.rs
+++ b/review/standins-3/cases/broken_off.rs
@@ -1,4 +1,4 @@
-//! Case 15: a replica spoils some of its answers and breaks them off.
+//! Case 14: a replica spoils some of its answers and breaks them off.
 
 use std::io::{BufReader, Read, Write};
 use std::net::SocketAddr;
@@ -35,6 +35,8 @@
                 gap: Duration::ZERO,
                 event_bytes: ANSWER_BYTES,
                 spoils_one_of: if is_faulty { SPOILS_ONE_OF } else { 0 },
+                fails_one_of: 0,
+                version: "v1",
             };
             Replica::start(&format!("i-{i}"), "app", "zone-a", 6, work, record)
         })
