--- a/review/standins-3/cases/broken_off.rs
+++ b/review/standins-3/cases/broken_off.rs
@@ -44,7 +44,8 @@
     for replica in &replicas {
         store.put("servers", &replica.id, &replica.announcement());
     }
-    let mut entry = match Entry::start(&setup.program, &setup.temp, "edge-1", "zone-a", store.addr) {
+    let mut entry = match Entry::start(&setup.program, &setup.temp, "edge-1", "zone-a", store.addr)
+    {
         Ok(entry) => entry,
         Err(e) => return Outcome::CouldNotRun(e.to_string()),
     };
@@ -114,7 +115,8 @@
         answer.start_line,
         answer.body.len()
     ));
-    let is_success = (200..300).contains(&answer.status()) && answer.header("response-seal").is_some();
+    let is_success =
+        (200..300).contains(&answer.status()) && answer.header("response-seal").is_some();
     if !is_success || read.is_err() {
         return Ok(Answer::Failure);
     }
--- a/review/standins-3/cases/silent_order.rs
+++ b/review/standins-3/cases/silent_order.rs
@@ -48,14 +48,24 @@
             Err(e) => return Outcome::CouldNotRun(format!("{name}: {e}")),
         }
     }
-    if !entries.iter().all(|entry| entry.wait_until_ready(Duration::from_secs(10))) {
+    if !entries
+        .iter()
+        .all(|entry| entry.wait_until_ready(Duration::from_secs(10)))
+    {
         return Outcome::CouldNotRun("not ready".to_owned());
     }
     let sent = SentTimes::default();
     let loads: Vec<_> = entries
         .iter()
         .map(|entry| {
-            Load::start(entry.frontend(), &request(), REQUESTS_PER_SECOND, 8, &sent, record)
+            Load::start(
+                entry.frontend(),
+                &request(),
+                REQUESTS_PER_SECOND,
+                8,
+                &sent,
+                record,
+            )
         })
         .collect();
     std::thread::sleep(Duration::from_secs(5));
@@ -78,6 +88,8 @@
     for load in loads {
         load.stop();
     }
+    let status = store.status("rollouts", "app");
+    record.say(&format!("status of the order: {status:?}"));
     if entries.iter_mut().any(Entry::has_ended) {
         return Outcome::CouldNotRun("an entry has ended".to_owned());
     }
@@ -88,7 +100,14 @@
     } else {
         ordered_at
     };
-    check(&runs(&old), &runs(&new), ordered_at, in_touch_from, &sent.lock().unwrap(), record)
+    check(
+        &runs(&old),
+        &runs(&new),
+        ordered_at,
+        in_touch_from,
+        &sent.lock().unwrap(),
+        record,
+    )
 }
 
 fn request() -> Request {
@@ -103,7 +122,11 @@
     }
 }
 
-fn start_replicas(version: &'static str, fails_one_of: usize, record: &Arc<Record>) -> Vec<Replica> {
+fn start_replicas(
+    version: &'static str,
+    fails_one_of: usize,
+    record: &Arc<Record>,
+) -> Vec<Replica> {
     let work = Work {
         first: Duration::from_millis(30),
         events: 1,
@@ -113,9 +136,10 @@
         fails_one_of,
         version,
     };
-    let replicas = ZONES.into_iter().enumerate().map(|(i, zone)| {
-        Replica::start(&format!("{version}-{i}"), "app", zone, 6, work, record)
-    });
+    let replicas = ZONES
+        .into_iter()
+        .enumerate()
+        .map(|(i, zone)| Replica::start(&format!("{version}-{i}"), "app", zone, 6, work, record));
     replicas.collect()
 }
 
@@ -137,7 +161,9 @@
 ) -> Outcome {
     let count = |runs: &[String], from: f64| {
         let times = runs.iter().filter_map(|id| sent.get(id));
-        times.filter(|at| **at >= from && **at < ordered_at + ORDER_S).count()
+        times
+            .filter(|at| **at >= from && **at < ordered_at + ORDER_S)
+            .count()
     };
     let all = count(old, ordered_at) + count(new, ordered_at);
     let exposed = count(new, in_touch_from.max(ordered_at));
--- a/review/standins-3/cases/silent_watch.rs
+++ b/review/standins-3/cases/silent_watch.rs
@@ -43,7 +43,10 @@
             Err(e) => return Outcome::CouldNotRun(format!("{name}: {e}")),
         }
     }
-    if !entries.iter().all(|entry| entry.wait_until_ready(Duration::from_secs(10))) {
+    if !entries
+        .iter()
+        .all(|entry| entry.wait_until_ready(Duration::from_secs(10)))
+    {
         return Outcome::CouldNotRun("not ready".to_owned());
     }
     let sent = SentTimes::default();
@@ -74,7 +77,13 @@
     }
     let runs = |replicas: &[Replica]| replicas.iter().flat_map(Replica::runs).collect::<Vec<_>>();
     let from = (silent_at + CONTACT_S).max(acknowledged_at + CONFIG_APPLY_S) + MARGIN_S;
-    check(&runs(&old), &runs(&new), from, &sent.lock().unwrap(), record)
+    check(
+        &runs(&old),
+        &runs(&new),
+        from,
+        &sent.lock().unwrap(),
+        record,
+    )
 }
 
 fn request() -> Request {
--- a/review/standins-3/client.rs
+++ b/review/standins-3/client.rs
@@ -135,7 +135,9 @@
         kept.get_mut().write_all(&request.to_bytes(id))?;
         let answer = read_message(&mut kept)?;
         let answer = answer.ok_or(std::io::ErrorKind::UnexpectedEof)?;
-        let closes = answer.header("connection").is_some_and(|c| c.contains("close"));
+        let closes = answer
+            .header("connection")
+            .is_some_and(|c| c.contains("close"));
         if !closes {
             *connection = Some(kept);
         }
--- a/review/standins-3/entry.rs
+++ b/review/standins-3/entry.rs
@@ -3,6 +3,7 @@
 use std::fs::{self, File};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -11,7 +12,14 @@
 const READINESS_PORT: u16 = 8224;
 const FIRST_INTERNAL_PORT: u16 = 7600;
 
-/// Running entry; it is killed when this is dropped.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
+/// Running entry; it is killed when this is dropped, and when this process is killed.
 pub struct Entry {
     ip: String,
     child: Child,
@@ -78,8 +86,19 @@
 fn spawn(program: &Path, folder: &Path, name: &str) -> std::io::Result<Child> {
     let log = folder.join(format!("{name}.log"));
     let log = File::options().create(true).append(true).open(log)?;
-    Command::new(program)
-        .env("EELGRASSRAMP_NODE_FILE", folder.join(format!("{name}.conf")))
+    let mut command = Command::new(program);
+    // SAFETY: prctl is safe to call between fork and exec, and gets numbers alone.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            Ok(())
+        });
+    }
+    command
+        .env(
+            "EELGRASSRAMP_NODE_FILE",
+            folder.join(format!("{name}.conf")),
+        )
         .stdin(Stdio::null())
         .stdout(log.try_clone()?)
         .stderr(log)
@@ -92,8 +111,18 @@
     static NEXT: AtomicU32 = AtomicU32::new(0);
     loop {
         let n = NEXT.fetch_add(1, Ordering::Relaxed) + std::process::id() * 16;
-        let ip = format!("127.{}.{}.{}", 20 + n / 50_000 % 200, n / 200 % 250, 10 + n % 200);
-        let ports = [FRONTEND_PORT, READINESS_PORT, FIRST_INTERNAL_PORT, FIRST_INTERNAL_PORT + 1];
+        let ip = format!(
+            "127.{}.{}.{}",
+            20 + n / 50_000 % 200,
+            n / 200 % 250,
+            10 + n % 200
+        );
+        let ports = [
+            FRONTEND_PORT,
+            READINESS_PORT,
+            FIRST_INTERNAL_PORT,
+            FIRST_INTERNAL_PORT + 1,
+        ];
         let are_free = ports
             .iter()
             .all(|port| TcpListener::bind(format!("{ip}:{port}")).is_ok());
--- a/review/standins-3/replica.rs
+++ b/review/standins-3/replica.rs
@@ -119,7 +119,10 @@
     /// Answers one request; returns whether the connection stays open.
     fn answer(&self, request: &Message, to: &mut TcpStream) -> bool {
         let id = request.header("attempt-id").unwrap_or_default();
-        if request.header("expect-instance").is_some_and(|expected| expected != self.id) {
+        if request
+            .header("expect-instance")
+            .is_some_and(|expected| expected != self.id)
+        {
             return self.refuse(id, 421, to);
         }
         if !self.take_slot() {
@@ -135,9 +138,14 @@
     }
 
     fn refuse(&self, id: &str, status: u16, to: &mut TcpStream) -> bool {
-        self.record.add(&format!("replica {} refused {id} with {status}", self.id));
+        self.record
+            .add(&format!("replica {} refused {id} with {status}", self.id));
         let start_line = format!("HTTP/1.1 {status} x");
-        let headers = [("Attempt-Id", id), ("Not-Executed", "1"), ("Instance-Id", &*self.id)];
+        let headers = [
+            ("Attempt-Id", id),
+            ("Not-Executed", "1"),
+            ("Instance-Id", &*self.id),
+        ];
         write_message(to, &start_line, &headers, b"").is_ok()
     }
 
@@ -159,7 +167,9 @@
             self.id
         );
         to.write_all(head.as_bytes())?;
-        let after = request.header("last-event-id").and_then(|last| last.parse().ok());
+        let after = request
+            .header("last-event-id")
+            .and_then(|last| last.parse().ok());
         for event in after.unwrap_or(0) + 1..=self.work.events {
             let text = event_text(event, self.work.event_bytes);
             to.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
@@ -174,7 +184,10 @@
 
     /// Writes half of an answer without a length, as servers of HTTP/1.0 do, and resets the connection.
     fn write_spoiled(&self, id: &str, to: &mut TcpStream) -> std::io::Result<()> {
-        self.record.add(&format!("replica {} breaks off its answer to {id}", self.id));
+        self.record.add(&format!(
+            "replica {} breaks off its answer to {id}",
+            self.id
+        ));
         let text = event_text(1, self.work.event_bytes);
         let half = &text[..text.len() / 2];
         let seal = format!("{}.{id}", self.id);
--- a/review/standins-3/socket.rs
+++ b/review/standins-3/socket.rs
@@ -15,8 +15,15 @@
 pub fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
     let on_with_no_time = [1, 0];
     // SAFETY: the descriptor is open, and the value lives as long as the call.
-    let status =
-        unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, on_with_no_time.as_ptr(), 8) };
+    let status = unsafe {
+        setsockopt(
+            stream.as_raw_fd(),
+            SOL_SOCKET,
+            SO_LINGER,
+            on_with_no_time.as_ptr(),
+            8,
+        )
+    };
     if status < 0 {
         return Err(io::Error::last_os_error());
     }
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -70,6 +70,13 @@
         self.changed.notify_all();
     }
 
+    /// Returns the status of an object, as its text.
+    pub fn status(&self, kind: &str, name: &str) -> Option<String> {
+        let state = self.state.lock().unwrap();
+        let object = state.objects.get(&(kind.to_owned(), name.to_owned()))?;
+        Some(object.status.clone())
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _set = stream.set_nodelay(true);
         let Ok(mut to) = stream.try_clone() else {
@@ -115,14 +122,20 @@
             .collect();
         let entries = entries.join(",");
         let at = state.revision;
-        (200, format!("{{\"entries\":[{entries}],\"hasMore\":false,\"at\":{at}}}"))
+        (
+            200,
+            format!("{{\"entries\":[{entries}],\"hasMore\":false,\"at\":{at}}}"),
+        )
     }
 
     fn watch(&self, kind: &str, at: u64, wait: Duration) -> (u16, String) {
         let until = Instant::now() + wait;
         let mut state = self.state.lock().unwrap();
         loop {
-            let new = state.changes.iter().filter(|c| c.object.revision > at && c.kind == kind);
+            let new = state
+                .changes
+                .iter()
+                .filter(|c| c.object.revision > at && c.kind == kind);
             let events: Vec<_> = new
                 .map(|c| {
                     let object = text_of(&c.name, &c.object);
@@ -149,10 +162,18 @@
         let revision = json::field(metadata, "revision").or(parameter(call.target(), "revision"));
         let revision = revision.and_then(|revision| revision.parse::<u64>().ok());
         let mut state = self.state.lock().unwrap();
-        let known = state.objects.get(&(kind.to_owned(), name.to_owned())).cloned();
+        let known = state
+            .objects
+            .get(&(kind.to_owned(), name.to_owned()))
+            .cloned();
         let answer = match (call.method(), known) {
             ("POST", None) => {
-                state.put(kind, name, json::field(&body, "spec"), json::field(&body, "status"));
+                state.put(
+                    kind,
+                    name,
+                    json::field(&body, "spec"),
+                    json::field(&body, "status"),
+                );
                 state.answer(kind, name)
             }
             (_, None) => (404, "{}".to_owned()),
@@ -224,7 +245,10 @@
 
     fn answer(&self, kind: &str, name: &str) -> (u16, String) {
         let object = self.objects.get(&(kind.to_owned(), name.to_owned()));
-        (200, object.map_or_else(|| "{}".to_owned(), |object| text_of(name, object)))
+        (
+            200,
+            object.map_or_else(|| "{}".to_owned(), |object| text_of(name, object)),
+        )
     }
 }
 
@@ -251,5 +275,7 @@
 fn parameter<'a>(target: &'a str, name: &str) -> Option<&'a str> {
     let query = target.split_once('?')?.1;
     let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.find(|(known, _)| *known == name).map(|(_, value)| value)
+    pairs
+        .find(|(known, _)| *known == name)
+        .map(|(_, value)| value)
 }
