--- a/review/standins-3/cases/mod.rs
+++ b/review/standins-3/cases/mod.rs
@@ -1,7 +1,7 @@
 //! The cases: each brings one disruption about and checks one rule.
 
 pub mod broken_off;
-pub mod silent_order;
+pub mod lost_order;
 pub mod silent_watch;
 
 use std::path::PathBuf;
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -69,7 +69,7 @@
     record.say(&format!("trouble: {}", setup.has_trouble));
     let outcome = match case {
         "broken-off" => cases::broken_off::run(&setup),
-        "silent-order" => cases::silent_order::run(&setup),
+        "lost-order" => cases::lost_order::run(&setup),
         "silent-watch" => cases::silent_watch::run(&setup),
         _ => Outcome::CouldNotRun(format!("no case {case}")),
     };
--- a/review/standins-3/replica.rs
+++ b/review/standins-3/replica.rs
@@ -46,6 +46,7 @@
     work: Work,
     load: Arc<(Mutex<Load>, Condvar)>,
     runs: Arc<Mutex<Vec<String>>>,
+    failures: Arc<Mutex<Vec<f64>>>,
     record: Arc<Record>,
 }
 
@@ -69,6 +70,7 @@
             work,
             load: Arc::default(),
             runs: Arc::default(),
+            failures: Arc::default(),
             record: Arc::clone(record),
         };
         let served = replica.clone();
@@ -103,6 +105,11 @@
         self.runs.lock().unwrap().clone()
     }
 
+    /// Returns the times of its failures, in seconds since the start of the script.
+    pub fn failures(&self) -> Vec<f64> {
+        self.failures.lock().unwrap().clone()
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _set = stream.set_nodelay(true);
         let Ok(mut to) = stream.try_clone() else {
@@ -152,6 +159,7 @@
     fn write_answer(&self, request: &Message, id: &str, to: &mut TcpStream) -> std::io::Result<()> {
         std::thread::sleep(self.work.first);
         if self.is_one_of(self.work.fails_one_of) {
+            self.failures.lock().unwrap().push(self.record.now());
             let seal = format!("{}.{id}", self.id);
             let headers = [("Attempt-Id", id), ("Response-Seal", &*seal)];
             return write_message(to, "HTTP/1.1 500 x", &headers, b"");
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -53,14 +54,28 @@
             })),
             changed: Arc::default(),
         };
-        let served = store.clone();
+        store.accept(listener, Arc::default());
+        store
+    }
+
+    /// Opens a further address of the same store. While the flag is set, answers there to watches with changes of
+    /// roll-out orders are lost.
+    pub fn open_address(&self) -> (SocketAddr, Arc<AtomicBool>) {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+        let addr = listener.local_addr().unwrap();
+        let loses_orders = Arc::new(AtomicBool::new(false));
+        self.accept(listener, Arc::clone(&loses_orders));
+        (addr, loses_orders)
+    }
+
+    fn accept(&self, listener: TcpListener, loses_orders: Arc<AtomicBool>) {
+        let store = self.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = served.clone();
-                std::thread::spawn(move || store.serve(stream));
+                let (store, loses_orders) = (store.clone(), Arc::clone(&loses_orders));
+                std::thread::spawn(move || store.serve(stream, &loses_orders));
             }
         });
-        store
     }
 
     /// Writes an object as its owner does, such as the operator or a replica.
@@ -77,7 +92,7 @@
         Some(object.status.clone())
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, loses_orders: &AtomicBool) {
         let _set = stream.set_nodelay(true);
         let Ok(mut to) = stream.try_clone() else {
             return;
@@ -90,6 +105,13 @@
                 _ => self.write(&call),
             };
             let (status, body) = answer;
+            let has_order = call.target().starts_with("/-/objects/rollouts?watch")
+                && body.contains("\"object\"");
+            if has_order && loses_orders.load(Ordering::Relaxed) {
+                // A connection on which a response is lost returns nothing further.
+                while let Ok(Some(_)) = read_message(&mut from) {}
+                return;
+            }
             let start_line = format!("HTTP/1.1 {status} x");
             let headers = [("Content-Type", "application/json")];
             if write_message(&mut to, &start_line, &headers, body.as_bytes()).is_err() {
