Orders for moves are handed on between entries

Cause: entries hand on tables, endpoints and evacuated domains, but not orders, which came from the store alone. What others tell of a move says nothing to an entry that has not read its order.

Ruled out: that the roll-back reached the entry and was not taken over (it sent half of its requests to the version, not the share of a move, and never logged the order, also with its link to the store cut for good and the others sending it their counts).

--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -2,9 +2,9 @@
 //!
 //! The peers of an entry are all other entries. Each pair of entries exchanges usage messages at an
 //! interval that depends on the number of entries; the response carries the other side's usage.
-//! Tables, endpoints and evacuated failure domains are transferred only when one side holds a newer
-//! version, so that an entry that cannot read the platform's store continues with the state of its
-//! peers.
+//! Tables, endpoints, evacuated failure domains and rollout orders are transferred only when one side
+//! holds a newer version, so that an entry that cannot read the platform's store, or has missed a
+//! change of it, continues with the state of its peers.
 //!
 //! A peer is *overdue* when it has sent no message for `MISSED_INTERVALS_BEFORE_TAKEOVER`
 //! intervals, and *unreachable* after `FAILURES_BEFORE_UNREACHABLE` failed requests in a row; it is
@@ -32,8 +32,6 @@
 use eelgrassramp::Monotonic;
 use eelgrassramp::Result;
 use eelgrassramp::lock;
-use serde::Deserialize;
-use serde::Serialize;
 use serde_bytes::ByteBuf;
 use slog::debug;
 use slog::info;
@@ -45,7 +43,6 @@
 use self::message::Envelope;
 use self::message::UsageMessage;
 use self::message::UsageWire;
-use self::message::encode;
 pub use self::provenance::Freshness;
 pub use self::provenance::MessageId;
 pub use self::provenance::MessageLog;
@@ -112,18 +109,17 @@
     intervals.max(same_domain_interval(entries))
 }
 
-/// Versions of the tables, endpoints and evacuated domains that an entry holds.
+/// Versions of the tables, endpoints, evacuated domains and orders that an entry holds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
 pub struct StateVersions {
     /// Version of the tables.
     pub tables: u64,
     /// Version of the list of endpoints, which grows with each change.
     pub endpoints: u64,
     /// Version of the list of evacuated failure domains, which grows with each change.
-    #[serde(rename = "emptied")]
-    #[serde(default)]
     pub evacuated: u64,
+    /// Version of the rollout orders and of the reports on them, which grows with each change.
+    pub orders: u64,
 }
 
 impl StateVersions {
@@ -132,6 +128,7 @@
         self.tables > other.tables
             || self.endpoints > other.endpoints
             || self.evacuated > other.evacuated
+            || self.orders > other.orders
     }
 
     /// Retains the parts of `snapshot`, which has these versions, that are newer than in `other`.
@@ -144,22 +141,22 @@
             evacuated: snapshot
                 .evacuated
                 .filter(|_| self.evacuated > other.evacuated),
+            orders: snapshot.orders.filter(|_| self.orders > other.orders),
         }
     }
 }
 
-/// Tables, endpoints and evacuated failure domains in the encoding of the platform.
+/// Tables, endpoints, evacuated failure domains and rollout orders in the encoding of the platform.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
 pub struct Snapshot {
     /// The tables, when any are known.
     pub tables: Option<ByteBuf>,
     /// The endpoints, when any are known.
     pub endpoints: Option<ByteBuf>,
     /// The evacuated failure domains, when they are known.
-    #[serde(rename = "emptied")]
-    #[serde(default)]
     pub evacuated: Option<ByteBuf>,
+    /// The rollout orders with the reports on them, when they are known.
+    pub orders: Option<ByteBuf>,
 }
 
 /// Stores the state that an entry read from the platform, to share it with its peers.
@@ -292,7 +289,7 @@
     fn apply_usage(&self, message: UsageMessage) -> PeerStatus {
         let received = &message.usage;
         let local = self.snapshots.state_versions();
-        let has_newer_state = received.state_versions().is_newer_than(local);
+        let has_newer_state = message.state_versions().is_newer_than(local);
         let received_at = self.entry.cx().timers.now();
         if has_newer_state {
             self.lag.observe(received_at, local);
@@ -463,12 +460,12 @@
         let status = self.apply_usage(received);
         if status.has_newer_state && self.should_fetch_snapshot() {
             self.lag.record_fetch(self.entry.cx().timers.now());
-            let local_versions = encode(&self.snapshots.state_versions())?;
-            let snapshot: Snapshot = client.call(SNAPSHOT_PATH, local_versions).await?;
-            self.snapshots.merge(snapshot)?;
+            let local_versions = self.snapshots.state_versions().encode()?;
+            let snapshot = client.post(SNAPSHOT_PATH, local_versions).await?;
+            self.snapshots.merge(Snapshot::decode(&snapshot)?)?;
         }
         if status.has_no_tables && self.should_push_snapshot() {
-            let snapshot = encode(&self.snapshots.export()?)?;
+            let snapshot = self.snapshots.export()?.encode()?;
             let _ack: Ack = client.call(PUSH_PATH, snapshot).await?;
         }
         Ok(())
--- a/crates/direct/src/exchange/lag.rs
+++ b/crates/direct/src/exchange/lag.rs
@@ -1,5 +1,5 @@
-//! Detects that this entry's tables, endpoints or evacuated failure domains lag behind those of its
-//! peers.
+//! Detects that this entry's tables, endpoints, evacuated failure domains or rollout orders lag behind
+//! those of its peers.
 
 use std::sync::Mutex;
 use std::sync::MutexGuard;
--- a/crates/direct/src/exchange/message.rs
+++ b/crates/direct/src/exchange/message.rs
@@ -4,6 +4,7 @@
 mod details;
 mod pool_shares;
 mod rollout_counts;
+mod state;
 
 use bytes::Bytes;
 use eelgrassramp::AccountName;
@@ -33,7 +34,7 @@
 use crate::quota::AccountUsage;
 
 /// Usage message of one entry to another: its shared state and the versions of its tables,
-/// endpoints and evacuated failure domains.
+/// endpoints, evacuated failure domains and rollout orders.
 #[derive(Debug, Clone)]
 pub(super) struct UsageMessage {
     pub(super) usage: UsageWire,
@@ -48,7 +49,7 @@
     pub(super) entry: EntryName,
     pub(super) incarnation: u64,
     pub(super) tables: u64,
-    pub(super) endpoints: u64,
+    endpoints: u64,
     #[serde(rename = "is_whole")]
     has_all_in_flight: bool,
     in_flight: Vec<(EndpointKey, u32)>,
@@ -170,6 +171,7 @@
             rollouts: rollouts.collect(),
             blocked_ages_ms: blocked_ages_ms(&update.crash_evidence),
             pool_shares: update.pool_shares.into_iter().map(Into::into).collect(),
+            orders: envelope.versions.orders,
         };
         let crash_evidence = Some(update.crash_evidence).filter(|evidence| !evidence.is_empty());
         let has_rate_limits = !update.rate_limits.is_empty() || crash_evidence.is_some();
@@ -214,9 +216,7 @@
     ///
     /// Returns [`Kind::Internal`] when it cannot be encoded.
     pub(super) fn encode(&self) -> Result<Bytes> {
-        let mut body = encode_value(&self.usage, rmp_serde::to_vec)?;
-        body.extend(encode_value(&self.details, rmp_serde::to_vec_named)?);
-        Ok(Bytes::from(body))
+        encode_with_details(&self.usage, &self.details)
     }
 
     /// Decodes a message of this or an earlier build.
@@ -225,24 +225,17 @@
     ///
     /// Returns [`Kind::Malformed`] when it cannot be read.
     pub(super) fn decode(body: &[u8]) -> Result<Self> {
-        let mut rest = body;
-        let usage = rmp_serde::from_read(&mut rest).map_err(malformed)?;
-        let details = if rest.is_empty() {
-            DetailsWire::default()
-        } else {
-            decode(rest)?
-        };
+        let (usage, details) = decode_with_details(body)?;
         Ok(Self { usage, details })
     }
-}
 
-impl UsageWire {
     /// Returns the versions of the state that the sender holds.
     pub(super) const fn state_versions(&self) -> StateVersions {
         StateVersions {
-            tables: self.tables,
-            endpoints: self.endpoints,
-            evacuated: self.evacuated,
+            tables: self.usage.tables,
+            endpoints: self.usage.endpoints,
+            evacuated: self.usage.evacuated,
+            orders: self.details.orders,
         }
     }
 }
@@ -294,6 +287,14 @@
     encode_value(message, rmp_serde::to_vec).map(Bytes::from)
 }
 
+/// Encodes a value that all builds read by position, and after it the details, which builds that do not
+/// know them leave unread.
+fn encode_with_details<T: Serialize, D: Serialize>(value: &T, details: &D) -> Result<Bytes> {
+    let mut body = encode_value(value, rmp_serde::to_vec)?;
+    body.extend(encode_value(details, rmp_serde::to_vec_named)?);
+    Ok(Bytes::from(body))
+}
+
 fn encode_value<T: Serialize>(
     value: &T,
     encode: fn(&T) -> std::result::Result<Vec<u8>, rmp_serde::encode::Error>,
@@ -306,6 +307,20 @@
     rmp_serde::from_slice(body).map_err(malformed)
 }
 
+/// Decodes a value and its details, which messages of earlier builds do not have.
+fn decode_with_details<T: DeserializeOwned, D: DeserializeOwned + Default>(
+    body: &[u8],
+) -> Result<(T, D)> {
+    let mut rest = body;
+    let value = rmp_serde::from_read(&mut rest).map_err(malformed)?;
+    let details = if rest.is_empty() {
+        D::default()
+    } else {
+        decode(rest)?
+    };
+    Ok((value, details))
+}
+
 fn malformed(e: rmp_serde::decode::Error) -> Error {
     Error::with_source(Kind::Malformed, "cannot decode a message of a peer", e)
 }
--- a/crates/direct/src/exchange/message/details.rs
+++ b/crates/direct/src/exchange/message/details.rs
@@ -33,4 +33,15 @@
     /// Work granted to accounts.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub(super) pool_shares: Vec<PoolSharesWire>,
+    /// Version of the rollout orders that the sender holds.
+    #[serde(skip_serializing_if = "is_unset")]
+    pub(super) orders: u64,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes the field by reference"
+)]
+const fn is_unset(version: &u64) -> bool {
+    *version == 0
 }
--- a/crates/direct/src/exchange/server.rs
+++ b/crates/direct/src/exchange/server.rs
@@ -30,11 +30,11 @@
 use super::MIN_INTERVAL;
 use super::PUSH_PATH;
 use super::SNAPSHOT_PATH;
+use super::Snapshot;
 use super::StateVersions;
 use super::USAGE_PATH;
 use super::message::Ack;
 use super::message::UsageMessage;
-use super::message::decode;
 use super::message::encode;
 use super::sent_state::SentState;
 use crate::connections;
@@ -147,13 +147,15 @@
 
     /// Returns the parts of the snapshot that are newer than the versions in the request.
     fn export_newer(&self, body: &[u8]) -> Result<Bytes> {
-        let peer_versions: StateVersions = decode(body)?;
+        let peer_versions = StateVersions::decode(body)?;
         let local_versions = self.snapshots.state_versions();
-        encode(&local_versions.retain_newer_parts(peer_versions, self.snapshots.export()?))
+        local_versions
+            .retain_newer_parts(peer_versions, self.snapshots.export()?)
+            .encode()
     }
 
     fn accept_snapshot(&self, body: &[u8]) -> Result<Bytes> {
-        self.snapshots.merge(decode(body)?)?;
+        self.snapshots.merge(Snapshot::decode(body)?)?;
         encode(&Ack)
     }
 }
