Each part of an entry's state lags for itself

Callers would see: an entry that missed a change of the tables or an order goes on without it until its watch times out, although the others hold the newer state, if its list of endpoints changes meanwhile.

Cause: an entry that lags for 0.6 s asks the others, but any change of its own state began that time anew. While endpoints start or are replaced, it never ended.

Ruled out: nothing else; the test shows it without the store and without load.

Change: tables, endpoints, evacuated domains and orders lag each for itself.

Test: newer_tables_reach_an_entry_whose_endpoints_keep_changing failed before (not within 5 s) and passes now.

--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -123,12 +123,18 @@
 }
 
 impl StateVersions {
+    /// Number of parts with a version of their own.
+    const PARTS: usize = 4;
+
     /// Returns whether any part of this state is newer than in `other`.
-    const fn is_newer_than(self, other: Self) -> bool {
-        self.tables > other.tables
-            || self.endpoints > other.endpoints
-            || self.evacuated > other.evacuated
-            || self.orders > other.orders
+    fn is_newer_than(self, other: Self) -> bool {
+        let mut parts = self.parts().into_iter().zip(other.parts());
+        parts.any(|(own, other)| own > other)
+    }
+
+    /// Returns the versions of all parts.
+    const fn parts(self) -> [u64; Self::PARTS] {
+        [self.tables, self.endpoints, self.evacuated, self.orders]
     }
 
     /// Retains the parts of `snapshot`, which has these versions, that are newer than in `other`.
@@ -289,16 +295,14 @@
     fn apply_usage(&self, message: UsageMessage) -> PeerStatus {
         let received = &message.usage;
         let local = self.snapshots.state_versions();
-        let has_newer_state = message.state_versions().is_newer_than(local);
+        let of_peer = message.state_versions();
         let received_at = self.entry.cx().timers.now();
-        if has_newer_state {
-            self.lag.observe(received_at, local);
-        }
+        self.lag.observe(received_at, local, of_peer);
         let entry = received.entry.clone();
         let incarnation = received.incarnation;
         let status = PeerStatus {
             received_at,
-            has_newer_state,
+            has_newer_state: of_peer.is_newer_than(local),
             has_no_tables: received.tables == 0,
             is_same_domain: self.shares_domain(received),
         };
