--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -15,6 +15,7 @@
 use http::Method;
 use http::StatusCode;
 use http::Uri;
+use http::Version;
 use http::header::CONTENT_LENGTH;
 use http::header::CONTENT_TYPE;
 use http::header::TRANSFER_ENCODING;
@@ -410,6 +411,9 @@
         self.entry
             .endpoint_protocol()
             .strip_connection_headers(&mut parts.headers);
+        // Like these headers, the version belongs to the endpoint's connection. It decides how the end of a
+        // body is marked, and with the caller's own connection a broken body does not look complete.
+        parts.version = Version::HTTP_11;
         let is_stream = matches!(self.route.kind, RouteKind::Streaming { .. }) && is_success;
         let can_resume = is_stream && self.route.may_execute_again();
         self.stream_head = can_resume.then(|| StreamHead::of(parts.status, &parts.headers));
