A caller of HTTP/1.0 sees that the process ended before the answer

Callers saw: where an entry stops within an answer without length, a caller of HTTP/1.0 took what it had for the whole answer, since its connection ended in the regular way.

Cause: the connection was reset only after an error of the response.

Change: from the moment at which the body of such a response is asked for until its end, the connection ends with a reset, whatever ends it.

Test: a_caller_without_chunks_sees_that_the_process_ended_before_the_answer failed before (1 of 1 run) and passes now. a_whole_answer_of_an_endpoint_without_chunks_is_passed_on now also runs for such a caller, which must not be reset.

--- a/crates/direct/src/server/caller_stream.rs
+++ b/crates/direct/src/server/caller_stream.rs
@@ -47,7 +47,9 @@
     open: OpenConnection,
     awaited: Mutex<Option<AwaitedHead>>,
     served: Mutex<Option<ServedRequest>>,
-    /// Whether a response was broken off of which the caller knows no other end than that of the connection.
+    /// Whether a response is not complete of which the caller knows no other end than that of the connection.
+    ///
+    /// However the connection ends then, it is reset: the response may be broken off, and the process may end.
     must_reset: AtomicBool,
 }
 
@@ -255,9 +257,13 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
+        if !self.ends_with_connection {
+            return Pin::new(&mut self.body).poll_frame(cx);
+        }
+        self.connection.must_reset.store(true, Ordering::Relaxed);
         let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
-        if self.ends_with_connection && matches!(frame, Some(Err(_))) {
-            self.connection.must_reset.store(true, Ordering::Relaxed);
+        if frame.is_none() {
+            self.connection.must_reset.store(false, Ordering::Relaxed);
         }
         Poll::Ready(frame)
     }
