A refused connection is no proof that an entry spends no quota

Cause: a refused connection was taken as proof that the process behind it had ended, so nothing was reserved for that entry, and each further attempt renewed this.

Change: an entry counts as down for 2.5 s from the first refusal since its last report, then as silent; meanwhile half of its share stays reserved, and all of it where most entries refuse.

Tests: a_network_partition_that_refuses_connections_does_not_double_the_quota and a_hot_account_stays_within_its_quota_while_connections_are_refused failed before and pass now.

--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -8,7 +8,7 @@
 //!
 //! A peer is *overdue* when it has sent no message for `MISSED_INTERVALS_BEFORE_TAKEOVER`
 //! intervals, and *unreachable* after `FAILURES_BEFORE_UNREACHABLE` failed requests in a row; it is
-//! *down* when it refuses connections, because then no process listens on its port. A *withdrawn* peer
+//! *down* when it refuses connections, as then no process seems to listen on its port. A *withdrawn* peer
 //! is no longer announced; it is removed once it is down or after `WITHDRAWN_PEER_RETENTION`. The
 //! quotas call a peer *silent* while its reports are missing; see [`quota`](crate::quota).
 
@@ -503,8 +503,8 @@
     }
 }
 
-/// Returns whether the connection was refused, which means that the VM responds but no process
-/// listens on the port.
+/// Returns whether the connection was refused: no process listens on the port, or a network partition
+/// refuses connections.
 fn is_connection_refused(e: &Error) -> bool {
     let mut source = std::error::Error::source(e);
     while let Some(cause) = source {
--- a/crates/direct/src/quota.rs
+++ b/crates/direct/src/quota.rs
@@ -152,7 +152,7 @@
             return Ok(());
         }
         self.charge_for_silent_peers(now);
-        let unreserved_share = 1.0 - self.silent_share(now, account);
+        let unreserved_share = 1.0 - self.reserved_share(now, account);
         let global_limit = RateLimit {
             per_second: self.tolerance.limit_per_second(quota),
             burst: quota.burst,
@@ -316,9 +316,10 @@
             });
     }
 
-    /// Marks another entry as down: its process is not running, so nothing is reserved for it.
+    /// Marks another entry as down: its process seems not to run, so less is reserved for it.
     ///
-    /// The mark expires soon, because the process may restart without being able to report.
+    /// The mark expires soon and is not renewed before the next report, because the process may restart
+    /// without being able to report, or serve callers behind a network partition.
     pub fn mark_peer_down(&mut self, now: Monotonic, entry: &EntryName) {
         if let Some(peer) = self.peers.get_mut(entry) {
             subtract_peer_demand(&mut self.peer_demand, peer);
@@ -358,7 +359,7 @@
             .map(move |(account, bucket)| RemainingQuota {
                 account,
                 units: bucket.level_at(now),
-                unreserved_share: 1.0 - self.silent_share(now, account),
+                unreserved_share: 1.0 - self.reserved_share(now, account),
             })
     }
 
--- a/crates/direct/src/quota/peer.rs
+++ b/crates/direct/src/quota/peer.rs
@@ -1,8 +1,9 @@
 //! Quota usage of another entry, as known from its reports.
 //!
 //! Another entry is silent if its last report is too old, or if it never sent one; after
-//! [`SILENT_EXPIRY`] it no longer counts. It is down for some time after its VM refused a
-//! connection, which shows that its process is not running.
+//! [`SILENT_EXPIRY`] it no longer counts. It is down for some time after its VM first refused a
+//! connection, as that of a process that restarts does. A network partition can refuse connections
+//! too, while the entry serves its callers on the other side, so a part of its share stays reserved.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -16,10 +17,9 @@
 /// Time without a report after which nothing is reserved for an entry any more.
 const SILENT_EXPIRY: Duration = Duration::from_secs(20);
 
-/// Time for which an entry counts as down after its VM refused a connection.
-///
-/// Longer than the delay between two connection attempts.
-const DOWN_HOLD_TIME: Duration = Duration::from_millis(2_500);
+/// Time for which an entry counts as down after its VM first refused a connection. A process restarts
+/// within that time; an entry that has not reported by then counts as silent.
+const MAX_DOWN_TIME: Duration = Duration::from_millis(2_500);
 
 /// Usage of one account's quota by another entry.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -43,13 +43,13 @@
     /// Whether this entry has charged its own buckets for the peer's silence; also set if there was
     /// nothing to charge because the peer never sent a report.
     pub(super) is_silence_charged: bool,
-    /// When the entry's process was last found not running.
+    /// When a connection was first refused since the last report.
     pub(super) down_at: Option<Monotonic>,
 }
 
 impl PeerQuota {
     /// Returns the time for which the entry's usage is unknown: since its last report, or since it
-    /// was last found down.
+    /// was found down.
     pub(super) fn report_age(&self, now: Monotonic) -> Duration {
         let last_report_at = self.last_report_at.unwrap_or(self.added_at);
         let last_known_at = self
@@ -68,13 +68,17 @@
         !self.is_down(now) && is_late && age < SILENT_EXPIRY
     }
 
-    fn is_down(&self, now: Monotonic) -> bool {
-        self.down_at
-            .is_some_and(|at| now.since(at) < DOWN_HOLD_TIME)
+    /// Returns whether the entry's process seems not to run.
+    pub(super) fn is_down(&self, now: Monotonic) -> bool {
+        self.down_at.is_some_and(|at| now.since(at) < MAX_DOWN_TIME)
     }
 
-    /// Marks the entry's process as not running, and the demand on it as zero.
+    /// Marks the entry's process as not running, and the demand on it as zero, unless it was marked since
+    /// its last report.
     pub(super) fn mark_down(&mut self, now: Monotonic) {
+        if self.down_at.is_some() {
+            return;
+        }
         self.down_at = Some(now);
         self.is_silence_charged = false;
         for used in self.accounts.values_mut() {
--- a/crates/direct/src/quota/silence.rs
+++ b/crates/direct/src/quota/silence.rs
@@ -14,6 +14,9 @@
 /// reserved for it.
 const SILENCE_LIMIT_INTERVALS: u32 = 5;
 
+/// Fraction of its share of each rate that is reserved for an entry that counts as down.
+const DOWN_RESERVE_RATIO: f64 = 0.5;
+
 impl Quotas {
     /// Charges each bucket with what newly silent entries may have used since their last report.
     pub(super) fn charge_for_silent_peers(&mut self, now: Monotonic) {
@@ -34,17 +37,38 @@
         }
     }
 
-    /// Returns the fraction of an account's rate that is reserved for silent entries.
-    pub(super) fn silent_share(&self, now: Monotonic, account: &AccountName) -> f64 {
+    /// Returns the fraction of an account's rate that is reserved for silent entries, and for those that
+    /// count as down.
+    pub(super) fn reserved_share(&self, now: Monotonic, account: &AccountName) -> f64 {
         let equal_share = 1.0 / f64::from(self.entry_count());
         let shares = self
-            .silent_peers(now)
-            .map(|peer| peer.share(account, equal_share));
+            .peers
+            .values()
+            .map(|peer| self.reserve_ratio(now, peer) * peer.share(account, equal_share));
         shares
             .sum::<f64>()
             .min(1.0 - EQUAL_SPLIT_RATIO * equal_share)
     }
 
+    /// Returns the fraction of its share of each rate that is reserved for another entry.
+    fn reserve_ratio(&self, now: Monotonic, peer: &PeerQuota) -> f64 {
+        let is_down = peer.is_down(now);
+        if is_down && !self.is_minority(now) {
+            DOWN_RESERVE_RATIO
+        } else if is_down || peer.is_silent(now, self.silence_limit()) {
+            1.0
+        } else {
+            0.0
+        }
+    }
+
+    /// Returns whether most entries count as down here. Then this entry is rather cut off itself than the
+    /// others have all ended.
+    fn is_minority(&self, now: Monotonic) -> bool {
+        let down = self.peers.values().filter(|peer| peer.is_down(now)).count();
+        2 * down > self.peers.len() + 1
+    }
+
     /// Returns the entries that may use quotas without reporting it.
     pub(super) fn silent_peers(&self, now: Monotonic) -> impl Iterator<Item = &PeerQuota> {
         let limit = self.silence_limit();
--- a/crates/direct/tests/quota/fleet.rs
+++ b/crates/direct/tests/quota/fleet.rs
@@ -50,6 +50,8 @@
 enum Fault {
     /// Messages between the entry and all others are lost.
     Partitioned,
+    /// Connections between the entry and all others are refused.
+    Refused,
     /// The process does not make progress.
     Frozen,
     /// The process is stopped, which the others detect, and restarts when the fault ends.
@@ -137,25 +139,31 @@
     fn apply_restarts(&mut self, ms: u64) {
         let now = Monotonic::from_millis(ms);
         for event in self.events.clone() {
-            if !matches!(event.fault, Fault::Down) {
+            if !matches!(event.fault, Fault::Down | Fault::Refused) {
                 continue;
             }
             let is_detected = (event.from_ms + DOWN_DETECTION_MS..event.to_ms).contains(&ms);
             if is_detected && ms.is_multiple_of(EXCHANGE_MS) {
                 self.detect_down(now, event.entry);
             }
-            if ms == event.to_ms {
+            if matches!(event.fault, Fault::Down) && ms == event.to_ms {
                 self.incarnations[event.entry] += 1;
                 self.start(ms, event.entry);
             }
         }
     }
 
-    /// Marks an entry as down at all entries that have no fault themselves.
+    /// Marks an entry as down at all entries that have no fault themselves, and these at the entry if its
+    /// process runs.
     fn detect_down(&mut self, now: Monotonic, down: usize) {
+        let fault = self.active_fault(now.as_millis(), down);
         for entry in 0..self.entries.len() {
-            if self.active_fault(now.as_millis(), entry).is_none() {
-                self.entries[entry].mark_peer_down(now, &name(down));
+            if self.active_fault(now.as_millis(), entry).is_some() {
+                continue;
+            }
+            self.entries[entry].mark_peer_down(now, &name(down));
+            if matches!(fault, Some(Fault::Refused)) {
+                self.entries[down].mark_peer_down(now, &name(entry));
             }
         }
     }
@@ -300,6 +308,14 @@
     expect_that!(violations, is_empty());
 }
 
+/// Guards against entries that take each other for ended because connections between them are refused.
+#[gtest]
+fn a_hot_account_stays_within_its_quota_while_connections_are_refused() {
+    let violations = violations(0..200, &[Fault::Refused]);
+
+    expect_that!(violations, is_empty());
+}
+
 #[gtest]
 fn a_hot_account_stays_within_its_quota_while_entries_freeze() {
     let violations = violations(0..60, &[Fault::Frozen]);
--- a/crates/direct/tests/quota/main.rs
+++ b/crates/direct/tests/quota/main.rs
@@ -110,6 +110,16 @@
         }
     }
 
+    /// Lets entries that cannot exchange reports find that connections to each other are refused.
+    fn refuse_connections(&mut self, ms: u64, can_connect: impl Fn(usize, usize) -> bool) {
+        let now = Monotonic::from_millis(ms);
+        for from in 0..self.entries.len() {
+            for to in (0..self.entries.len()).filter(|to| !can_connect(from, *to)) {
+                self.entries[from].mark_peer_down(now, &name(to));
+            }
+        }
+    }
+
     fn max_admitted_in_window(&self) -> f64 {
         let sum_in_window = |start: u64| -> f64 {
             let within = self
@@ -153,6 +163,43 @@
     expect_that!(fleet.max_admitted_in_window(), le(allowed(&QUOTA)));
 }
 
+/// Guards against a cut that refuses connections, which looks like the end of the processes on its other side:
+/// both sides then spent the whole quota.
+#[gtest]
+fn a_network_partition_that_refuses_connections_does_not_double_the_quota() {
+    for (size, cut_off, retry_ms) in [
+        (2, 1, 400),
+        (4, 1, 400),
+        (4, 1, 2_000),
+        (4, 2, 400),
+        (5, 2, 400),
+        (5, 2, 2_000),
+        (12, 3, 400),
+    ] {
+        let interval_ms = 13 * size as u64;
+        let mut fleet = Fleet::new(size);
+        let is_same_partition = |a: usize, b: usize| (a < cut_off) == (b < cut_off);
+
+        fleet.run(0, 8_000, interval_ms, |_, _| true);
+        for from_ms in (8_000..20_000).step_by(retry_ms) {
+            fleet.refuse_connections(from_ms, is_same_partition);
+            fleet.run(
+                from_ms,
+                from_ms + retry_ms as u64,
+                interval_ms,
+                is_same_partition,
+            );
+        }
+        fleet.run(20_000, 30_000, interval_ms, |_, _| true);
+
+        expect_that!(
+            fleet.max_admitted_in_window(),
+            le(allowed(&QUOTA)),
+            "{cut_off} of {size} cut off, tried again after {retry_ms} ms"
+        );
+    }
+}
+
 #[gtest]
 fn entries_without_any_exchange_share_the_quota() {
     let mut fleet = Fleet::new(4);
