Quotas: what is reserved is summed in one pass over the other entries

The share of entries that count as down asked for each of them how many do, which grows with the square of their number where many end at once. Wording of a comment.

--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -411,8 +411,8 @@
         self.entry
             .endpoint_protocol()
             .strip_connection_headers(&mut parts.headers);
-        // Like these headers, the version belongs to the endpoint's connection. It decides how the end of a
-        // body is marked, and with the caller's own connection a broken body does not look complete.
+        // Like these headers, the version belongs to the endpoint's connection. In the answer it would decide
+        // how the caller sees the end of the body.
         parts.version = Version::HTTP_11;
         let is_stream = matches!(self.route.kind, RouteKind::Streaming { .. }) && is_success;
         let can_resume = is_stream && self.route.may_execute_again();
--- a/crates/direct/src/quota/silence.rs
+++ b/crates/direct/src/quota/silence.rs
@@ -14,7 +14,7 @@
 /// reserved for it.
 const SILENCE_LIMIT_INTERVALS: u32 = 5;
 
-/// Fraction of its share of each rate that is reserved for an entry that counts as down.
+/// Fraction of its share of each rate that is reserved for an entry that counts as down, while most do not.
 const DOWN_RESERVE_RATIO: f64 = 0.5;
 
 impl Quotas {
@@ -41,32 +41,28 @@
     /// count as down.
     pub(super) fn reserved_share(&self, now: Monotonic, account: &AccountName) -> f64 {
         let equal_share = 1.0 / f64::from(self.entry_count());
-        let shares = self
-            .peers
-            .values()
-            .map(|peer| self.reserve_ratio(now, peer) * peer.share(account, equal_share));
+        let limit = self.silence_limit();
+        let down_ratio = self.down_reserve_ratio(now);
+        let reserved = self.peers.values().filter_map(|peer| {
+            if peer.is_down(now) {
+                Some((peer, down_ratio))
+            } else {
+                peer.is_silent(now, limit).then_some((peer, 1.0))
+            }
+        });
+        let shares = reserved.map(|(peer, ratio)| ratio * peer.share(account, equal_share));
         shares
             .sum::<f64>()
             .min(1.0 - EQUAL_SPLIT_RATIO * equal_share)
     }
 
-    /// Returns the fraction of its share of each rate that is reserved for another entry.
-    fn reserve_ratio(&self, now: Monotonic, peer: &PeerQuota) -> f64 {
-        let is_down = peer.is_down(now);
-        if is_down && !self.is_minority(now) {
-            DOWN_RESERVE_RATIO
-        } else if is_down || peer.is_silent(now, self.silence_limit()) {
-            1.0
-        } else {
-            0.0
-        }
-    }
-
-    /// Returns whether most entries count as down here. Then this entry is rather cut off itself than the
-    /// others have all ended.
-    fn is_minority(&self, now: Monotonic) -> bool {
+    /// Returns the fraction of its share of each rate that is reserved for an entry that counts as down.
+    ///
+    /// If most entries do, this one is rather cut off itself than the others have all ended.
+    fn down_reserve_ratio(&self, now: Monotonic) -> f64 {
         let down = self.peers.values().filter(|peer| peer.is_down(now)).count();
-        2 * down > self.peers.len() + 1
+        let is_minority = 2 * down > self.peers.len() + 1;
+        if is_minority { 1.0 } else { DOWN_RESERVE_RATIO }
     }
 
     /// Returns the entries that may use quotas without reporting it.
